--- a/parser/config.go
+++ b/parser/config.go
@@ -280,7 +280,7 @@
 		if !slices.Contains(c.DCs, h.DC) {
 			r.fault(section, "dc", h.DC, "data centre is not configured")
 		}
-		for role := range h.Roles {
+		for _, role := range h.Roles.Sorted() {
 			if role != sycamorevane.RoleEntry && role != sycamorevane.RoleControl {
 				r.fault(section, "roles", role, "must be entry, control or both")
 			}
@@ -289,9 +289,12 @@
 		r.checkListener(section, "caller", h.Caller, h.Roles.Has(sycamorevane.RoleEntry))
 		r.checkListener(section, "announce", h.Announce, h.Roles.Has(sycamorevane.RoleEntry))
 		r.checkListener(section, "operator", h.Operator, h.Roles.Has(sycamorevane.RoleControl))
-		for key, addr := range map[string]string{"mesh": h.Mesh, "caller": h.Caller, "announce": h.Announce, "operator": h.Operator} {
-			if addr != "" {
-				r.unique(section, key, addr, h.Name, addrs)
+		// A list and not a map, so that the same clash is always reported for the same listener.
+		for _, l := range []struct{ key, addr string }{
+			{"mesh", h.Mesh}, {"caller", h.Caller}, {"announce", h.Announce}, {"operator", h.Operator},
+		} {
+			if l.addr != "" {
+				r.unique(section, l.key, l.addr, h.Name, addrs)
 			}
 		}
 	}
