--- a/applier/command.go
+++ b/applier/command.go
@@ -32,6 +32,10 @@
 	OpStep = "rollout step"
 	// OpForget removes the drain records of servers that have left; operators cannot send it.
 	OpForget = "forget"
+	// OpConfigure puts a whole numbered configuration into force when its number is the highest so far.
+	OpConfigure = "configure"
+	// OpLeave records servers that said that they are leaving; operators cannot send it.
+	OpLeave = "leave"
 	// OpServe records the version that serves a service outside of rollouts; operators cannot send it.
 	OpServe = "serve"
 )
@@ -68,7 +72,7 @@
 	// Host and With are the control hosts of a replacement.
 	Host string `json:"host,omitempty"`
 	With string `json:"with,omitempty"`
-	// Gone lists the servers of a forget.
+	// Gone lists the servers of a forget or leave.
 	Gone []string `json:"gone,omitempty"`
 	Step *Step    `json:"step,omitempty"`
 
@@ -199,4 +203,6 @@
 	return o, nil
 }
 
-func internal(op string) bool { return op == OpStep || op == OpForget || op == OpServe }
+func internal(op string) bool {
+	return op == OpStep || op == OpForget || op == OpServe || op == OpLeave
+}
--- a/applier/machine.go
+++ b/applier/machine.go
@@ -144,7 +144,7 @@
 	switch c.Op {
 	case OpStep:
 		return v.result == ResultApplied && c.Args.Step.Phase != c.Args.Step.Was
-	case OpForget:
+	case OpForget, OpLeave:
 		return false
 	case OpServe:
 		return v.result == ResultApplied
--- a/applier/ops.go
+++ b/applier/ops.go
@@ -62,6 +62,10 @@
 		return m.forget(s, c)
 	case OpServe:
 		return serve(s, c)
+	case OpConfigure:
+		return configure(s, c)
+	case OpLeave:
+		return leave(s, c)
 	}
 	return refuse("unknown op %q", c.Op)
 }
@@ -284,14 +288,14 @@
 	if last, ok := s.Rollouts[service]; ok && !last.Phase.Final() {
 		return refuse("service %q already has a rollout to %q in phase %s", service, last.To, last.Phase)
 	}
-	if _, ok := c.Args.Versions[to]; !ok {
+	if _, ok := c.Args.Versions[to]; !ok && !c.Force {
 		return refuse("unknown version %q of service %q: no server has announced it", to, service)
 	}
 	left := time.Duration(c.Args.Deadline-c.At) * time.Millisecond
 	if left <= 0 {
 		return refuse("deadline %s is in the past", stamp(c.Args.Deadline))
 	}
-	if left < MinRollout {
+	if left < MinRollout && !c.Force {
 		return refuse("deadline is in %v; evidence needs at least %v", left, MinRollout)
 	}
 	if shortest := time.Duration(c.Args.Shortest) * time.Millisecond; left < shortest {
--- /dev/null
+++ b/cataloger/keeper.go
@@ -0,0 +1,270 @@
+package cataloger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/encoder"
+)
+
+const (
+	// flushInterval batches the reports that a control host passes on. A leaving server has 2 s until its
+	// acknowledgement binds; the batch takes a twentieth of that.
+	flushInterval = 100 * time.Millisecond
+	// lapseBeats is how many missed reports make a server silent, and lapseSlack what a report may be late besides:
+	// a report may arrive seconds late.
+	lapseBeats = 3
+	lapseSlack = 2 * time.Second
+	// forgetAfter is how long an unheard server stays in the catalog. Reports delayed by a partition are told from
+	// new ones as long as the later start is known.
+	forgetAfter = 2 * time.Minute
+	sweepEvery  = time.Second
+)
+
+// KeeperConfig holds what a Keeper is built from.
+type KeeperConfig struct {
+	Transport sycamorevane.Transport
+	// Controls lists the other control hosts, Entries the entries that have a session.
+	Controls func() []string
+	Entries  func() []string
+	// Leads reports whether this host is the control leader, and its term.
+	Leads func() (bool, uint64)
+	// Follows reports whether this host is in contact with a leader, itself included. Without contact reports are
+	// refused, since the leader would take the servers for silent.
+	Follows func() bool
+	// Left reports whether the end of the server is committed, Commit commits it.
+	Left   func(id string) bool
+	Commit func(ctx context.Context, ids []string) error
+	// Forgot is called on the leader with servers that are not in the catalog any more.
+	Forgot func(ids []string)
+	// Interval is the time between two reports of a server.
+	Interval time.Duration
+	Log      logr.Logger
+}
+
+// UnavailableError says that a report was not taken, because this host is cut off from the control leader.
+type UnavailableError struct{ Reason string }
+
+func (e *UnavailableError) Error() string { return "report not taken: " + e.Reason }
+
+// Keeper is the catalog on a control host.
+type Keeper struct {
+	cfg  KeeperConfig
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+	wake chan struct{}
+
+	mu      sync.Mutex
+	catalog *Catalog
+	// pending are the reports to pass on, by server.
+	pending map[string]Report
+	// pushed is the revision that the entries have been sent in this term of office.
+	pushed uint64
+	term   uint64
+}
+
+// NewKeeper registers the message handlers.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	k := &Keeper{cfg: cfg, catalog: NewCatalog(), pending: make(map[string]Report), wake: make(chan struct{}, 1)}
+	k.ctx, k.stop = context.WithCancel(context.Background())
+	cfg.Transport.Handle(&encoder.Heartbeats{}, k.onHeartbeats)
+	cfg.Transport.Handle(&encoder.CatalogAsk{}, k.onAsk)
+	return k
+}
+
+// Start begins to pass reports on.
+func (k *Keeper) Start() { k.wg.Go(k.loop) }
+
+// Close ends the work.
+func (k *Keeper) Close() {
+	k.stop()
+	k.wg.Wait()
+}
+
+// Report takes what a server said of itself. It returns when the report may be acknowledged: for a server that leaves
+// when that is committed. Errors: *UnavailableError, and those of Commit.
+func (k *Keeper) Report(ctx context.Context, r Report) error {
+	if !k.cfg.Follows() {
+		return &UnavailableError{Reason: "no control leader is known"}
+	}
+	now := time.Now()
+	k.mu.Lock()
+	if r.Left || r.Draining {
+		if known, ok := k.catalog.Get(r.Server.ID); ok && r.Server.Addr == "" {
+			r = merged(known, r)
+		}
+	}
+	if k.catalog.Merge(r, now) {
+		k.pending[r.Server.ID] = r
+	}
+	k.mu.Unlock()
+	if !r.Left && !r.Draining {
+		return nil
+	}
+	k.signal()
+	if k.cfg.Left(r.Server.ID) {
+		return nil
+	}
+	err := k.cfg.Commit(ctx, []string{r.Server.ID})
+	k.cfg.Log.Info("server leaves", "server", r.Server.ID, "service", r.Server.Service, "left", r.Left, "committed", err == nil)
+	return errors.Trace(err)
+}
+
+// merged completes a report that names a server only by its id.
+func merged(known Entry, r Report) Report {
+	out := known.Report
+	out.Left, out.Draining = out.Left || r.Left, out.Draining || r.Draining
+	out.Silent = false
+	return out
+}
+
+// Find returns the latest start of a server by what it calls itself.
+func (k *Keeper) Find(label string) (Entry, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var best Entry
+	found := false
+	for _, e := range k.catalog.entries {
+		if e.Server.Label == label && (!found || e.Born > best.Born) {
+			best, found = *e, true
+		}
+	}
+	return best, found
+}
+
+// All lists the servers.
+func (k *Keeper) All() []Entry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.catalog.All()
+}
+
+// Revision is the epoch and revision that entries should have.
+func (k *Keeper) Revision() (epoch, revision uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.term, k.pushed
+}
+
+func (k *Keeper) signal() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) loop() {
+	t := time.NewTicker(flushInterval)
+	defer t.Stop()
+	swept := time.Now()
+	for {
+		select {
+		case <-t.C:
+		case <-k.wake:
+		case <-k.ctx.Done():
+			return
+		}
+		now := time.Now()
+		if now.Sub(swept) >= sweepEvery {
+			swept = now
+			k.sweep(now)
+		}
+		k.flush(now)
+	}
+}
+
+func (k *Keeper) sweep(now time.Time) {
+	leads, _ := k.cfg.Leads()
+	k.mu.Lock()
+	if leads {
+		k.catalog.Lapse(now, lapseBeats*k.cfg.Interval+lapseSlack)
+	}
+	gone := k.catalog.Forget(now, forgetAfter)
+	k.mu.Unlock()
+	if leads && len(gone) > 0 {
+		k.cfg.Forgot(gone)
+	}
+}
+
+// flush passes new reports to the other control hosts and, on the leader, changes to the entries.
+func (k *Keeper) flush(now time.Time) {
+	leads, term := k.cfg.Leads()
+	k.mu.Lock()
+	var reports []Report
+	for id, r := range k.pending {
+		reports = append(reports, r)
+		delete(k.pending, id)
+	}
+	push := k.nextPush(leads, term, now)
+	k.mu.Unlock()
+	if len(reports) > 0 {
+		m := &encoder.Heartbeats{Records: encode(reports)}
+		for _, name := range k.cfg.Controls() {
+			k.send(name, m)
+		}
+	}
+	if push == nil {
+		return
+	}
+	for _, name := range k.cfg.Entries() {
+		k.send(name, push)
+	}
+}
+
+// nextPush returns the changes since the last push, or nil when there are none. It is called with the lock held.
+func (k *Keeper) nextPush(leads bool, term uint64, now time.Time) *encoder.CatalogPush {
+	if !leads {
+		return nil
+	}
+	if term != k.term {
+		k.term, k.pushed = term, k.catalog.Revision() // Entries ask for what is older.
+	}
+	if k.pushed == k.catalog.Revision() {
+		return nil
+	}
+	m := &encoder.CatalogPush{
+		Epoch: term, Base: k.pushed, Revision: k.catalog.Revision(), Records: encode(k.catalog.Since(k.pushed, now)),
+	}
+	k.pushed = m.Revision
+	return m
+}
+
+func (k *Keeper) send(to string, m proto.Message) {
+	if err := k.cfg.Transport.Send(to, m); err != nil {
+		k.cfg.Log.V(1).Info("catalog message not sent", "peer", to, "reason", err.Error())
+	}
+}
+
+func (k *Keeper) onHeartbeats(_ string, m proto.Message) proto.Message {
+	beats, _ := m.(*encoder.Heartbeats)
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range decode(beats.GetRecords()) {
+		k.catalog.Merge(r, now)
+	}
+	return nil
+}
+
+// onAsk answers an entry that has missed a change. Only the leader answers.
+func (k *Keeper) onAsk(string, proto.Message) proto.Message {
+	leads, term := k.cfg.Leads()
+	if !leads {
+		return nil
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if term != k.term {
+		return nil // The first push of this term of office has not been made yet.
+	}
+	return &encoder.CatalogPush{
+		Epoch: term, Revision: k.pushed, Full: true, Records: encode(k.catalog.Since(0, time.Now())),
+	}
+}
--- /dev/null
+++ b/cmd/sycamorevane/join.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sycamorevane.example/sycamorevane/parser"
+	"sycamorevane.example/sycamorevane/platform"
+	"sycamorevane.example/sycamorevane/recorder"
+	"sycamorevane.example/sycamorevane/runner"
+)
+
+// stopMargin is the end of the grace period that is left for closing down.
+const stopMargin = 700 * time.Millisecond
+
+func joinCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("join", flag.ExitOnError)
+	file := fs.String("boot", "", "settings file of this host (SYCAMOREVANE_BOOT)")
+	return &ffcli.Command{
+		Name: "join", ShortUsage: "sycamorevane join -boot FILE.ini",
+		ShortHelp: "run one process of an open deployment, whose hosts find each other", FlagSet: fs,
+		Options: []ff.Option{ff.WithEnvVarPrefix("SYCAMOREVANE")},
+		Exec: func(ctx context.Context, args []string) error {
+			if *file == "" || len(args) > 0 {
+				return errors.New("join needs -boot FILE.ini or SYCAMOREVANE_BOOT, and no other argument")
+			}
+			return join(ctx, *file)
+		},
+	}
+}
+
+func join(ctx context.Context, file string) error {
+	s, err := parser.LoadOpen(file)
+	if err != nil {
+		return err
+	}
+	log := recorder.NewLogger(os.Stdout, s.Debug)
+	o, err := runner.NewOpen(runner.OpenConfig{
+		Settings: s, Log: log, Adapter: platform.Adapter{},
+		Reload: func() (*parser.OpenSettings, error) { return parser.LoadOpen(file) },
+	})
+	if err != nil {
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	if err := o.Start(); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-reload:
+			// Settings are read again where they are used, since they may change without a signal.
+			log.Info("settings reloaded", "host", s.Name)
+		case <-ctx.Done():
+			stop, cancel := context.WithTimeout(context.Background(), max(0, s.Bounds.Grace-stopMargin))
+			defer cancel()
+			o.Stop(stop)
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/dispatcher/core.go
@@ -0,0 +1,267 @@
+package dispatcher
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/cataloger"
+)
+
+const (
+	// usualStart stands for the latency of a route that has not been seen yet.
+	usualStart = 200 * time.Millisecond
+	// usualWeight is the weight of one answer in the usual latency of its route.
+	usualWeight = 0.1
+	// jitter spreads the choices of entries that know the same of the servers.
+	jitter = 0.15
+	// silentCost keeps requests off servers that control has not heard, as long as others can take them.
+	silentCost = 20.0
+	// pausedCost does so for paused ones.
+	pausedCost = 50.0
+)
+
+// Bounds are the system-wide limits that entries share.
+type Bounds struct {
+	// ColdFactor and ColdSlack bound the requests that a cold server gets in a second over all entries: its rate times
+	// the factor, plus the slack.
+	ColdFactor float64
+	ColdSlack  float64
+}
+
+// share is this entry's part of the system-wide limits.
+type share struct{ rank, entries int }
+
+// core decides on placement. It is pure: time and randomness are arguments.
+type core struct {
+	dc     string
+	bounds Bounds
+	rand   *rand.Rand
+	pools  map[string]*pool
+	// byID holds all servers.
+	byID map[string]*server
+	next uint64
+}
+
+// pool is the servers of one service.
+type pool struct {
+	servers []*server
+	// usual is the smoothed latency of good answers by route.
+	usual map[string]time.Duration
+}
+
+func newCore(dc string, bounds Bounds, r *rand.Rand) *core {
+	return &core{dc: dc, bounds: bounds, rand: r, pools: make(map[string]*pool), byID: make(map[string]*server)}
+}
+
+// update replaces the servers, keeping what is known of those that stay.
+func (c *core) update(entries []cataloger.Entry) {
+	byID := make(map[string]*server, len(entries))
+	for _, p := range c.pools {
+		p.servers = nil
+	}
+	for _, e := range entries {
+		s, ok := c.byID[e.Server.ID]
+		if !ok {
+			s = newServer(e)
+		}
+		s.entry = e
+		byID[e.Server.ID] = s
+		p := c.pool(e.Server.Service)
+		p.servers = append(p.servers, s)
+	}
+	c.byID = byID
+}
+
+func (c *core) pool(service string) *pool {
+	p, ok := c.pools[service]
+	if !ok {
+		p = &pool{usual: make(map[string]time.Duration)}
+		c.pools[service] = p
+	}
+	return p
+}
+
+func (p *pool) usualOf(route string) time.Duration {
+	if d, ok := p.usual[route]; ok {
+		return d
+	}
+	return usualStart
+}
+
+// choice is the result of a pick. Without a server, full tells whether there are servers that have no room, and not
+// none at all.
+type choice struct {
+	server *server
+	trial  bool
+	full   bool
+}
+
+// view is what a decision depends on besides the servers.
+type view struct {
+	now     time.Time
+	state   *sycamorevane.State
+	share   share
+	blocked func(service, version string) bool
+	// returned is since when each data centre that came back has been back, by this host's clock.
+	returned map[string]time.Time
+}
+
+// pick chooses a server for a request.
+func (c *core) pick(v *view, ask *sycamorevane.Ask) choice {
+	p := c.pools[ask.Service]
+	if p == nil {
+		return choice{}
+	}
+	version, trial := c.version(v, ask)
+	got := c.best(v, ask, p, version)
+	if got.server == nil && trial {
+		// A request of the trial share may always go to the old version.
+		r := v.state.Rollouts[ask.Service]
+		return c.best(v, ask, p, r.From)
+	}
+	got.trial = trial
+	return got
+}
+
+// version draws the version that the request goes to; empty when any may have it.
+func (c *core) version(v *view, ask *sycamorevane.Ask) (name string, trial bool) {
+	if ask.Version != "" {
+		return ask.Version, false
+	}
+	parts := v.state.Share(ask.Service)
+	if parts == nil {
+		return "", false
+	}
+	if len(parts) == 1 {
+		for only := range parts {
+			name = only
+		}
+		return name, false
+	}
+	r := v.state.Rollouts[ask.Service]
+	if c.rand.Float64() < parts[r.To] && !v.blocked(ask.Service, r.To) {
+		return r.To, true
+	}
+	return r.From, false
+}
+
+func (c *core) best(v *view, ask *sycamorevane.Ask, p *pool, version string) choice {
+	usual := p.usualOf(ask.Route)
+	var svc *sycamorevane.Service
+	if v.state != nil {
+		svc = v.state.Config.Service(ask.Service)
+	}
+	var got choice
+	best := 0.0
+	bestCold := false
+	for _, s := range p.servers {
+		if !usable(v, s, version, ask.Avoid) {
+			continue
+		}
+		got.full = true
+		cold := isCold(v, s, svc)
+		if cold && !c.allowsCold(v, s, svc) || !s.free(v.now, usual) {
+			continue
+		}
+		cost := s.cost(v.now, usual, c.dc, cold) * (1 + jitter*c.rand.Float64())
+		if s.entry.Silent {
+			cost *= silentCost
+		}
+		if v.now.Before(s.pausedTil) {
+			cost *= pausedCost
+		}
+		if got.server == nil || cost < best {
+			got.server, best, bestCold = s, cost, cold
+		}
+	}
+	if got.server != nil && bestCold {
+		got.server.cold.take(v.now, c.coldRate(v, svc))
+	}
+	return got
+}
+
+// usable reports whether the server may get the request at all.
+func usable(v *view, s *server, version string, avoid []string) bool {
+	e := &s.entry
+	if e.Gone() || s.stale || version != "" && e.Server.Version != version {
+		return false
+	}
+	if _, left := v.state.DrainedServers[e.Server.ID]; left {
+		return false
+	}
+	if _, out := v.state.DrainedDCs[e.Server.DC]; out {
+		return false
+	}
+	for _, id := range avoid {
+		if id == e.Server.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// isCold reports whether the server is cold: by its own word, or since its data centre has just come back, where
+// servers may have become cold without having said so yet.
+func isCold(v *view, s *server, svc *sycamorevane.Service) bool {
+	if svc == nil || svc.ColdRate <= 0 {
+		return false
+	}
+	if v.now.Before(s.entry.ColdUntil) {
+		return true
+	}
+	since, ok := v.returned[s.entry.Server.DC]
+	return ok && v.now.Sub(since) < svc.Cold && s.entry.Heard.Before(since)
+}
+
+// coldEntries is how many entries share the requests of a cold server. Each may send one at any moment on top of its
+// part of the rate, which keeps the sum below the bound.
+func (c *core) coldEntries(v *view, svc *sycamorevane.Service) int {
+	room := svc.ColdRate*(c.bounds.ColdFactor-1) + c.bounds.ColdSlack
+	return max(1, min(v.share.entries, int(room)-1))
+}
+
+func (c *core) coldRate(v *view, svc *sycamorevane.Service) float64 {
+	return svc.ColdRate / float64(c.coldEntries(v, svc))
+}
+
+// allowsCold reports whether this entry is one of those that may use the cold server, and has a request left.
+func (c *core) allowsCold(v *view, s *server, svc *sycamorevane.Service) bool {
+	if v.share.entries <= 0 || v.share.rank >= v.share.entries {
+		return false
+	}
+	n := uint64(v.share.entries)
+	offset := (uint64(v.share.rank) + n - xxhash.Sum64String(s.entry.Server.ID)%n) % n
+	if offset >= uint64(c.coldEntries(v, svc)) {
+		return false
+	}
+	rate := c.coldRate(v, svc)
+	if s.cold.filled.IsZero() {
+		s.cold.filled = v.now
+	}
+	return s.cold.ready(v.now, rate)
+}
+
+// start books a request on the server and returns the number of the grant.
+func (c *core) start(now time.Time, s *server) uint64 {
+	c.next++
+	s.started[c.next] = now
+	return c.next
+}
+
+// finish ends a request. It returns the server, nil when it has left the catalog, and whether it was paused.
+func (c *core) finish(now time.Time, service, id string, grant uint64, o sycamorevane.Outcome) (*server, bool) {
+	p := c.pool(service)
+	usual := p.usualOf(o.Route)
+	if o.Kind == sycamorevane.OutcomeOK {
+		p.usual[o.Route] = usual + time.Duration(usualWeight*float64(o.Latency-usual))
+	}
+	s := c.byID[id]
+	if s == nil {
+		return nil, false
+	}
+	delete(s.started, grant)
+	return s, s.observe(now, usual, o)
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,255 @@
+// Package dispatcher places requests by an entry's own view: what its requests have shown of each server, and what the
+// servers say of their load in their answers. It exchanges no messages with other entries; only limits that hold for
+// the whole system are divided among them. It implements sycamorevane.Limiter and is meant for load far below the
+// capacity of all servers, where single servers are slow, cold, failing or gone.
+package dispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/cataloger"
+)
+
+const (
+	// maxQueue bounds the waiting requests of a service on one entry.
+	maxQueue = 256
+	// retryQueue is how often waiting requests look again for a server whose estimated load has faded.
+	retryQueue = 10 * time.Millisecond
+	// retryNone is when a caller should come back while no server is known.
+	retryNone = 500 * time.Millisecond
+)
+
+// Config holds what a Dispatcher is built from.
+type Config struct {
+	DC     string
+	Bounds Bounds
+	// Servers lists the catalog. It is read on Update.
+	Servers func() []cataloger.Entry
+	// State returns the state in force, or nil before the first one.
+	State func() *sycamorevane.State
+	// Blocked reports whether the version must not be used by this entry.
+	Blocked func(service, version string) bool
+	// Share returns this entry's rank among the entries that take requests, and their number.
+	Share   func() (rank, entries int)
+	Log     logr.Logger
+	Metrics tally.Scope
+}
+
+// Dispatcher implements sycamorevane.Limiter.
+type Dispatcher struct {
+	cfg Config
+
+	mu    sync.Mutex
+	core  *core
+	queue map[string][]*waiter
+	// returned is since when a data centre is back, known the DrainedDCs and Returned of the last state.
+	returned map[string]time.Time
+	paused   tally.Counter
+	refused  tally.Counter
+}
+
+// waiter is a request without a server.
+type waiter struct {
+	ask *sycamorevane.Ask
+	// got receives the choice; it has room for one.
+	got chan sycamorevane.Grant
+}
+
+var _ sycamorevane.Limiter = (*Dispatcher)(nil)
+
+// New returns a dispatcher without servers.
+func New(cfg Config) *Dispatcher {
+	if cfg.Metrics == nil {
+		cfg.Metrics = tally.NoopScope
+	}
+	if cfg.Blocked == nil {
+		cfg.Blocked = func(string, string) bool { return false }
+	}
+	m := cfg.Metrics.SubScope("dispatcher")
+	return &Dispatcher{
+		cfg: cfg, core: newCore(cfg.DC, cfg.Bounds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		queue: make(map[string][]*waiter), returned: make(map[string]time.Time),
+		paused: m.Counter("paused"), refused: m.Counter("refused"),
+	}
+}
+
+// Update reads the servers and the state again.
+func (d *Dispatcher) Update() {
+	entries := d.cfg.Servers()
+	st := d.cfg.State()
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.update(entries)
+	if st != nil {
+		d.noteReturns(st, now)
+	}
+	for service := range d.queue {
+		d.serve(now, service)
+	}
+}
+
+func (d *Dispatcher) noteReturns(st *sycamorevane.State, now time.Time) {
+	for dc := range d.returned {
+		if _, back := st.Returned[dc]; !back {
+			delete(d.returned, dc)
+		}
+	}
+	for dc := range st.Returned {
+		if _, noted := d.returned[dc]; !noted {
+			d.returned[dc] = now
+		}
+	}
+}
+
+func (d *Dispatcher) view(now time.Time) *view {
+	rank, entries := d.cfg.Share()
+	return &view{
+		now: now, state: d.cfg.State(), share: share{rank, entries}, blocked: d.cfg.Blocked, returned: d.returned,
+	}
+}
+
+// Acquire implements sycamorevane.Limiter. A request waits only while its servers have no room and it can still be
+// answered in time.
+func (d *Dispatcher) Acquire(ctx context.Context, ask sycamorevane.Ask) (sycamorevane.Grant, error) {
+	now := time.Now()
+	d.mu.Lock()
+	v := d.view(now)
+	if v.state == nil {
+		d.mu.Unlock()
+		return sycamorevane.Grant{}, d.refuse(&ask, "no configuration is in force", retryNone)
+	}
+	got := choice{full: true}
+	if len(d.queue[ask.Service]) == 0 {
+		got = d.core.pick(v, &ask)
+	}
+	if got.server != nil {
+		g := d.grant(v, got)
+		d.mu.Unlock()
+		return g, nil
+	}
+	usual := d.core.pool(ask.Service).usualOf(ask.Route)
+	queued := len(d.queue[ask.Service])
+	reason := ""
+	switch {
+	case !got.full:
+		reason = "no server can take the request"
+	case queued >= maxQueue:
+		reason = "queue is full"
+	case ask.Deadline.Sub(now) < usual/2:
+		reason = "deadline cannot be met"
+	}
+	if reason != "" {
+		d.mu.Unlock()
+		return sycamorevane.Grant{}, d.refuse(&ask, reason, max(usual, retryNone))
+	}
+	w := &waiter{ask: &ask, got: make(chan sycamorevane.Grant, 1)}
+	d.enqueue(w)
+	d.mu.Unlock()
+	return d.wait(ctx, w, usual)
+}
+
+// enqueue keeps the more urgent before the less urgent, and within a rank the order of arrival.
+func (d *Dispatcher) enqueue(w *waiter) {
+	list := d.queue[w.ask.Service]
+	i := len(list)
+	for i > 0 && list[i-1].ask.Priority > w.ask.Priority {
+		i--
+	}
+	d.queue[w.ask.Service] = slices.Insert(list, i, w)
+}
+
+// wait returns when a server has room, or when an answer could not come in time any more.
+func (d *Dispatcher) wait(ctx context.Context, w *waiter, usual time.Duration) (sycamorevane.Grant, error) {
+	last := w.ask.Deadline.Add(-usual / 2)
+	t := time.NewTicker(retryQueue)
+	defer t.Stop()
+	for {
+		select {
+		case g := <-w.got:
+			return g, nil
+		case <-ctx.Done():
+			return d.leave(w, ctx.Err())
+		case now := <-t.C:
+			if now.After(last) {
+				return d.leave(w, d.refuse(w.ask, "no server became free in time", max(usual, retryNone)))
+			}
+			d.mu.Lock()
+			d.serve(time.Now(), w.ask.Service)
+			d.mu.Unlock()
+		}
+	}
+}
+
+// leave gives up waiting. A grant that came meanwhile is used unless the caller is gone.
+func (d *Dispatcher) leave(w *waiter, err error) (sycamorevane.Grant, error) {
+	d.mu.Lock()
+	list := d.queue[w.ask.Service]
+	if i := slices.Index(list, w); i >= 0 {
+		d.queue[w.ask.Service] = slices.Delete(list, i, i+1)
+		d.mu.Unlock()
+		return sycamorevane.Grant{}, err
+	}
+	d.mu.Unlock()
+	g := <-w.got
+	d.Release(g, sycamorevane.Outcome{Kind: sycamorevane.OutcomeCancelled, Route: w.ask.Route})
+	return sycamorevane.Grant{}, err
+}
+
+// serve gives room to the waiting requests in their order. It is called with the lock held.
+func (d *Dispatcher) serve(now time.Time, service string) {
+	if len(d.queue[service]) == 0 {
+		return
+	}
+	v := d.view(now)
+	if v.state == nil {
+		return
+	}
+	list := d.queue[service]
+	left := list[:0]
+	for i, w := range list {
+		got := d.core.pick(v, w.ask)
+		if got.server == nil {
+			left = append(left, list[i:]...)
+			break
+		}
+		w.got <- d.grant(v, got)
+	}
+	clear(list[len(left):])
+	d.queue[service] = left
+}
+
+func (d *Dispatcher) grant(v *view, got choice) sycamorevane.Grant {
+	srv := got.server.entry.Server
+	if svc := v.state.Config.Service(srv.Service); svc != nil && svc.Conns > 0 {
+		srv.Conns = svc.Conns
+	}
+	return sycamorevane.Grant{ID: d.core.start(v.now, got.server), Server: srv, Trial: got.trial}
+}
+
+// Release implements sycamorevane.Limiter.
+func (d *Dispatcher) Release(g sycamorevane.Grant, o sycamorevane.Outcome) {
+	now := time.Now()
+	d.mu.Lock()
+	s, paused := d.core.finish(now, g.Server.Service, g.Server.ID, g.ID, o)
+	d.serve(now, g.Server.Service)
+	d.mu.Unlock()
+	if s == nil || !paused {
+		return
+	}
+	d.paused.Inc(1)
+	d.cfg.Log.V(1).Info("server paused", "server", g.Server.ID, "service", g.Server.Service, "outcome", o.Kind.String())
+}
+
+func (d *Dispatcher) refuse(ask *sycamorevane.Ask, reason string, after time.Duration) *sycamorevane.RefusedError {
+	d.refused.Inc(1)
+	return &sycamorevane.RefusedError{Service: ask.Service, Firm: ask.Firm, Reason: reason, After: after}
+}
--- /dev/null
+++ b/dispatcher/server.go
@@ -0,0 +1,202 @@
+package dispatcher
+
+import (
+	"math"
+	"time"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/cataloger"
+)
+
+const (
+	// paceLife is the time in which what a server said of its pace loses most of its worth: the load of a shared
+	// machine changes several times a second.
+	paceLife = 300 * time.Millisecond
+	// memory is the time in which past latency and failures lose most of their worth, so that a server that was slow
+	// or failed gets requests again.
+	memory = 5 * time.Second
+	// kneeShare is the part of a server's slots above which work slows down, kneeCost by how much.
+	kneeShare = 0.8
+	kneeCost  = 1.7
+	// distantCost makes a server of the own data centre win unless it is clearly slower: traffic between data centres
+	// costs time and money.
+	distantCost = 1.25
+	// busyCost is the cost of a full server beside an idle one, below the knee.
+	busyCost = 0.15
+	// coldCost is how much slower a cold server is taken to be.
+	coldCost = 2.0
+	// failureCost weighs the share of failed answers.
+	failureCost = 6.0
+	// overdue is how many times the usual latency a running request may take before its server counts as stuck.
+	overdue = 2.5
+	// latencyWeight and failureWeight are the weights of one observation.
+	latencyWeight = 0.3
+	failureWeight = 0.25
+	// refusedPause, shedPause and brokenPause are the first pauses of a server after a failed connection, its own
+	// refusal and answers that broke off; they double up to pauseMax while it goes on.
+	refusedPause = 500 * time.Millisecond
+	shedPause    = 150 * time.Millisecond
+	brokenPause  = 500 * time.Millisecond
+	pauseMax     = 4 * time.Second
+	// brokenStrikes is how many broken answers in a row pause a server: single ones happen.
+	brokenStrikes = 2
+)
+
+// server is what this entry knows of one backend server.
+type server struct {
+	entry cataloger.Entry
+	// started holds when each own running request was sent, by grant.
+	started map[uint64]time.Time
+	// others is how many requests of other entries the server had at its last answer, at loadAt.
+	others float64
+	pace   float64
+	loadAt time.Time
+	// ratio is the smoothed latency relative to the usual one of the same route; 1 at the beginning.
+	ratio     float64
+	failing   float64
+	seen      time.Time
+	strikes   int
+	pausedTil time.Time
+	// stale is set when another server has the address.
+	stale bool
+	cold  bucket
+}
+
+func newServer(e cataloger.Entry) *server {
+	return &server{entry: e, started: make(map[uint64]time.Time), ratio: 1, pace: 1}
+}
+
+// fade returns how much an observation is still worth after age.
+func fade(age, life time.Duration) float64 { return math.Exp(-float64(max(0, age)) / float64(life)) }
+
+// occupied estimates the requests on the server. What other entries had there ends within the usual latency.
+func (s *server) occupied(now time.Time, usual time.Duration) float64 {
+	return float64(len(s.started)) + s.others*fade(now.Sub(s.loadAt), max(usual, 50*time.Millisecond))
+}
+
+func (s *server) slots() float64 { return float64(max(1, s.entry.Server.Slots)) }
+
+// free reports whether one more request would find a slot.
+func (s *server) free(now time.Time, usual time.Duration) bool {
+	return s.occupied(now, usual)+0.5 < s.slots()
+}
+
+// cost is the expected time of a request on the server relative to the usual one.
+func (s *server) cost(now time.Time, usual time.Duration, dc string, cold bool) float64 {
+	worth := fade(now.Sub(s.seen), memory)
+	cost := 1 + (s.ratio-1)*worth
+	cost *= 1 + failureCost*s.failing*worth
+	cost *= 1 + (s.pace-1)*fade(now.Sub(s.loadAt), paceLife)
+	used := (s.occupied(now, usual) + 1) / s.slots()
+	cost *= 1 + busyCost*used
+	if used > kneeShare {
+		cost *= kneeCost
+	}
+	if s.entry.Server.DC != dc {
+		cost *= distantCost
+	}
+	if cold {
+		cost *= coldCost
+	}
+	if late := s.oldest(now).Seconds() / max(usual.Seconds(), 0.001); late > overdue {
+		cost *= late / overdue * 2
+	}
+	return cost
+}
+
+func (s *server) oldest(now time.Time) time.Duration {
+	var age time.Duration
+	for _, at := range s.started {
+		age = max(age, now.Sub(at))
+	}
+	return age
+}
+
+// observe takes the end of a request into account. It returns true when the server was paused by it.
+func (s *server) observe(now time.Time, usual time.Duration, o sycamorevane.Outcome) bool {
+	if o.Load != nil {
+		s.others = max(0, float64(o.Load.Running+o.Load.Waiting-len(s.started)))
+		s.loadAt = now
+		s.pace = 1
+		if o.Load.Pace > 0 {
+			s.pace = o.Load.Pace
+		}
+	}
+	s.stale = s.stale || o.Stale
+	worth := fade(now.Sub(s.seen), memory)
+	s.ratio = 1 + (s.ratio-1)*worth
+	s.failing *= worth
+	s.seen = now
+	switch o.Kind {
+	case sycamorevane.OutcomeOK:
+		s.strikes = 0
+		s.failing -= s.failing * failureWeight
+		s.slower(usual, o.Latency)
+	case sycamorevane.OutcomeFailed:
+		s.failing += (1 - s.failing) * failureWeight
+	case sycamorevane.OutcomeShed:
+		s.others = max(s.others, s.slots())
+		s.loadAt = now
+		return s.pause(now, shedPause)
+	case sycamorevane.OutcomeRefused:
+		return s.pause(now, refusedPause)
+	case sycamorevane.OutcomeTimeout:
+		s.failing += (1 - s.failing) * failureWeight
+		return s.pause(now, brokenPause)
+	case sycamorevane.OutcomeBroken:
+		s.failing += (1 - s.failing) * failureWeight
+		if s.strikes+1 < brokenStrikes {
+			s.strikes++
+			return false
+		}
+		return s.pause(now, brokenPause)
+	case sycamorevane.OutcomeCancelled:
+		// It took at least this long.
+		if o.Latency > usual {
+			s.slower(usual, o.Latency)
+		}
+	}
+	return false
+}
+
+func (s *server) slower(usual, latency time.Duration) {
+	if usual <= 0 {
+		return
+	}
+	s.ratio += latencyWeight * (min(latency.Seconds()/usual.Seconds(), 10) - s.ratio)
+}
+
+func (s *server) pause(now time.Time, first time.Duration) bool {
+	d := min(pauseMax, first<<min(s.strikes, 4))
+	s.strikes++
+	if until := now.Add(d); until.After(s.pausedTil) {
+		s.pausedTil = until
+	}
+	return true
+}
+
+// bucket spreads the requests of a cold server.
+type bucket struct {
+	tokens float64
+	filled time.Time
+}
+
+// take removes a token. The bucket is empty at first, so that a restarted entry does not add to what its former start
+// has sent.
+func (b *bucket) take(now time.Time, rate float64) bool {
+	if b.filled.IsZero() {
+		b.filled = now
+	}
+	b.tokens = min(1, b.tokens+now.Sub(b.filled).Seconds()*rate)
+	b.filled = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// ready reports whether take would succeed.
+func (b *bucket) ready(now time.Time, rate float64) bool {
+	return !b.filled.IsZero() && b.tokens+now.Sub(b.filled).Seconds()*rate >= 1
+}
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -53,11 +52,13 @@
 func (c *call) write(status int, notRun bool, after time.Duration, reason string) {
 	h := c.w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(headerNotRun, strconv.FormatBool(notRun))
-	h.Set(headerAttempts, strconv.Itoa(c.attempts))
-	h.Set(headerRequestID, c.f.requestID())
+	if c.f.d.Marks {
+		h.Set(c.f.d.NotRun, strconv.FormatBool(notRun))
+		h.Set(headerAttempts, strconv.Itoa(c.attempts))
+	}
+	h.Set(c.f.d.RequestID, c.requestID())
 	if mayRetry(status) {
-		h.Set(headerRetry, strconv.Itoa(int(max(1, math.Ceil(after.Seconds())))))
+		h.Set(headerRetry, c.f.d.retryAfter(after))
 	}
 	if notRun {
 		c.f.counts.refused.Inc(1)
@@ -114,13 +115,16 @@
 	h := c.w.Header()
 	in := res.resp.Header
 	strip(in, in["Connection"])
-	for _, name := range internal {
+	for _, name := range c.f.internal {
 		delete(in, name)
 	}
 	for name, values := range in {
 		h[name] = values
 	}
-	h[headerRequestID] = []string{res.id}
+	h[c.f.d.RequestID] = []string{res.id}
+	if !c.f.d.Marks {
+		return
+	}
 	h[headerServer] = []string{res.server.ID}
 	h[headerVersion] = []string{res.server.Version}
 	h[headerAttempts] = []string{strconv.Itoa(c.attempts)}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"maps"
@@ -32,6 +33,7 @@
 var (
 	errMismatch   = errors.New("answer carries the id of another request")
 	errUnbounded  = errors.New("answer has neither length nor chunks, so that its end cannot be checked")
+	errUnproved   = errors.New("answer does not show that it is the server's own")
 	errProtocol   = errors.New("server switched protocols")
 	errCallerGone = errors.New("caller has left")
 	errSuspect    = errors.New("server runs another request that is suspected of crashing servers")
@@ -81,6 +83,11 @@
 	// cancel releases the context of a hedged attempt; nil without one.
 	cancel   context.CancelFunc
 	finished bool
+	// load is what the server said of itself.
+	load *sycamorevane.Load
+	// stale is set when another server has the address; single when the connection must not be used again.
+	stale  bool
+	single bool
 	// uploaded is when the request was written in Unix ns; the latency counts from there.
 	uploaded atomic.Int64
 }
@@ -134,6 +141,10 @@
 		Service: c.svc.Name, Firm: c.firm, Route: c.route.Name, Method: c.r.Method,
 		Idempotent: !c.once, Deadline: until, Avoid: avoid,
 	}
+	if c.rule != nil {
+		ask.Priority = c.rule.Priority
+		ask.Aim = c.began.Add(c.rule.Aim)
+	}
 	grant, err := c.acquire(ctx, ask, hedge)
 	if err != nil {
 		if permit != nil {
@@ -141,7 +152,7 @@
 		}
 		return &result{refused: err}
 	}
-	a := &attempt{c: c, ctx: ctx, grant: grant, id: c.f.requestID(), began: time.Now(), permit: permit}
+	a := &attempt{c: c, ctx: ctx, grant: grant, id: c.attemptID(), began: time.Now(), permit: permit}
 	if granted != nil {
 		granted(grant.Server.ID)
 	}
@@ -160,6 +171,14 @@
 	return a.exchange(until, hedge)
 }
 
+// attemptID names the attempt towards the server.
+func (c *call) attemptID() string {
+	if c.f.d.KeepID {
+		return c.requestID()
+	}
+	return c.f.requestID()
+}
+
 func (c *call) acquire(ctx context.Context, ask sycamorevane.Ask, hedge bool) (sycamorevane.Grant, error) {
 	if !hedge {
 		return c.f.cfg.Limiter.Acquire(ctx, ask)
@@ -182,7 +201,7 @@
 	case !c.once:
 		age = maxIdle
 	}
-	p := c.f.pools.get(&a.grant.Server, c.index.entries, a.began)
+	p := c.f.pools.get(&a.grant.Server, c.sharers(), a.began)
 	conn, err := p.get(a.ctx, age, until)
 	if err != nil {
 		return a.unconnected(err)
@@ -201,6 +220,14 @@
 	return a.readBody(resp)
 }
 
+// sharers is the number of entries that share the connections of a server.
+func (c *call) sharers() int {
+	if c.f.cfg.Peers != nil {
+		return max(1, c.f.cfg.Peers())
+	}
+	return c.index.entries
+}
+
 func (a *attempt) unconnected(err error) *result {
 	kind := sycamorevane.OutcomeRefused
 	if a.ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, errPoolClosed) {
@@ -214,9 +241,12 @@
 func (a *attempt) prepare(until time.Time) {
 	c := a.c
 	header := maps.Clone(c.header)
-	header[headerRequestID] = []string{a.id}
+	header[c.f.d.RequestID] = []string{a.id}
 	ms := max(1, time.Until(until).Milliseconds())
-	header[headerTimeout] = []string{strconv.FormatInt(ms, 10)}
+	header[c.f.d.Timeout] = []string{strconv.FormatInt(ms, 10)}
+	if c.f.d.Expect != "" {
+		header[c.f.d.Expect] = []string{a.grant.Server.Label}
+	}
 	a.out = &http.Request{
 		Method: c.r.Method, URL: c.r.URL, Host: c.r.Host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -235,7 +265,7 @@
 // write sends the request; a body that is still arriving is sent by a goroutine.
 func (a *attempt) write(until time.Time) error {
 	if a.body == nil || a.c.body.whole() {
-		_ = a.conn.SetReadDeadline(until)
+		_ = a.conn.SetReadDeadline(until.Add(a.c.f.cfg.Grace))
 		err := a.send()
 		a.sentAll = err == nil
 		if err != nil && a.body != nil && a.conn.sent.Load() > 0 {
@@ -276,6 +306,13 @@
 		if err != nil {
 			return nil, err
 		}
+		if resp.StatusCode >= http.StatusOK && a.belated(resp) {
+			a.single = true
+			if _, err := io.CopyN(io.Discard, resp.Body, bufferSize); err != io.EOF {
+				return nil, errMismatch
+			}
+			continue
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, a.checkHead(resp)
 		}
@@ -286,24 +323,46 @@
 	return nil, errProtocol
 }
 
+// belated reports whether the answer belongs to an earlier request of the connection, as its id tells: some servers
+// send a second answer late. What it was for has been answered, so it is dropped.
+func (a *attempt) belated(resp *http.Response) bool {
+	echo := resp.Header[a.c.f.d.RequestID]
+	return a.c.f.d.KeepID && a.conn.reused && len(echo) == 1 && echo[0] != a.id
+}
+
 func (a *attempt) checkHead(resp *http.Response) error {
 	a.latent = time.Since(a.began)
 	if at := a.uploaded.Load(); at != 0 && a.body != nil {
 		a.latent = max(0, time.Since(time.Unix(0, at)))
 	}
-	echoes := resp.Header[headerRequestID]
+	if load := a.c.f.d.Load; load != nil {
+		a.load = load(resp.Header)
+	}
+	a.conn.idleFor = idleOf(resp.Header)
+	echoes := resp.Header[a.c.f.d.RequestID]
 	for _, echo := range echoes {
 		if echo != a.id {
 			a.c.f.counts.mismatched.Inc(1)
 			return errMismatch
 		}
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !bodyless(a.out.Method, resp.StatusCode) {
+	switch {
+	case a.c.f.d.notRun(resp):
+	case a.c.f.d.Proof != "" && len(echoes) == 0:
+		return errMismatch
+	case !a.c.f.d.proved(resp):
+		return errUnproved
+	case unbounded(resp) && a.c.f.d.Proof == "" && !bodyless(a.out.Method, resp.StatusCode):
 		return errUnbounded
 	}
 	return nil
 }
 
+// unbounded reports whether the answer ends with its connection. Its end can only be told from a reset.
+func unbounded(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 func bodyless(method string, status int) bool {
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
@@ -315,7 +374,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError {
 		res.kind = sycamorevane.OutcomeFailed
 	}
-	if notRun(resp) {
+	if a.c.f.d.notRun(resp) {
 		return a.shed(resp)
 	}
 	var err error
@@ -324,6 +383,8 @@
 	case resp.ContentLength > 0 && resp.ContentLength <= bufferSize:
 		res.body = make([]byte, resp.ContentLength)
 		_, err = io.ReadFull(resp.Body, res.body)
+	case unbounded(resp):
+		err = a.readAll(resp, res)
 	case resp.ContentLength < 0 && (!a.c.once || a.c.claim != nil):
 		err = a.hold(resp, res)
 	default:
@@ -356,13 +417,25 @@
 	return nil
 }
 
-func notRun(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerNotRun) == "true"
+// readAll reads an answer that ends with its connection. A longer one than fits into memory is passed on in chunks,
+// so that a reset cuts the caller's connection, too.
+func (a *attempt) readAll(resp *http.Response, res *result) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bufferSize+1))
+	if err != nil {
+		return err
+	}
+	if len(body) <= bufferSize {
+		res.body = body
+		return nil
+	}
+	res.stream = io.MultiReader(bytes.NewReader(body), resp.Body)
+	return nil
 }
 
 // shed takes the server's own refusal, which says that the request has not run.
 func (a *attempt) shed(resp *http.Response) *result {
 	_, err := io.CopyN(io.Discard, resp.Body, maxShedBody)
+	a.stale = resp.StatusCode == http.StatusMisdirectedRequest
 	a.finish(sycamorevane.OutcomeShed, err == io.EOF && !resp.Close)
 	seconds, _ := strconv.Atoi(resp.Header.Get(headerRetry))
 	return &result{
@@ -409,7 +482,7 @@
 		a.latent = time.Since(a.began)
 	}
 	c := a.c
-	o := sycamorevane.Outcome{Kind: kind, Latency: a.latent, Route: c.route.Name, Fingerprint: c.fingerprint}
+	o := sycamorevane.Outcome{Kind: kind, Latency: a.latent, Route: c.route.Name, Fingerprint: c.fingerprint, Load: a.load, Stale: a.stale}
 	c.f.cfg.Limiter.Release(a.grant, o)
 	c.f.cfg.Observe(c.svc.Name, a.grant.Server.Version, c.route.Name, o)
 	if a.permit != nil {
@@ -437,7 +510,7 @@
 		}
 		a.sentAll = <-a.wrote == nil
 	}
-	if reusable && a.sentAll {
+	if reusable && a.sentAll && !a.single {
 		a.conn.pool.put(a.conn, time.Now())
 		return
 	}
--- a/forwarder/budget.go
+++ b/forwarder/budget.go
@@ -28,9 +28,9 @@
 }
 
 // deposit is called for each first attempt.
-func (b *budget) deposit(share float64) {
+func (b *budget) deposit(share, burst float64) {
 	b.mu.Lock()
-	b.tokens = min(maxTokens, b.tokens+share)
+	b.tokens = min(burst, b.tokens+share)
 	b.mu.Unlock()
 }
 
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -47,8 +47,10 @@
 	svc   *sycamorevane.Service
 	kept  *service
 	route sycamorevane.Route
-	firm  string
-	key   string
+	// rule is nil where the service was selected by its own hosts and prefixes.
+	rule *sycamorevane.Rule
+	firm string
+	key  string
 	// once is set when the request must not run twice: it has a key or its route is not idempotent.
 	once bool
 	// open is the attempt whose answer is being passed on.
@@ -140,12 +142,30 @@
 		return &statusError{http.StatusRequestURITooLong, fmt.Sprintf("URL is above %d bytes", limit)}
 	case limit > 0 && headerSize(r.Header) > limit:
 		return &statusError{http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("header is above %d bytes", limit)}
-	case len(r.Header[headerKey]) > 1 || len(r.Header[headerTimeout]) > 1 || len(r.Header[headerFirm]) > 1:
+	case c.repeats():
 		return &statusError{http.StatusBadRequest, "a header that may occur once is repeated"}
 	}
 	return nil
 }
 
+// repeats reports whether a header that names one thing is given more than once.
+func (c *call) repeats() bool {
+	for _, name := range []string{c.f.d.Key, c.f.d.Timeout, c.f.d.Firm} {
+		if name != "" && len(c.r.Header[name]) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// requestID is the id in an answer of the system's own.
+func (c *call) requestID() string {
+	if id := c.r.Header.Get(c.f.d.RequestID); c.f.d.KeepID && id != "" {
+		return id
+	}
+	return c.f.requestID()
+}
+
 func headerSize(h http.Header) int {
 	n := 0
 	for name, values := range h {
@@ -157,26 +177,40 @@
 }
 
 func (c *call) find() error {
-	c.svc = c.index.find(c.r.Host, c.r.URL.Path)
+	c.selectService()
 	if c.svc == nil {
 		return &statusError{http.StatusNotFound, "no service has this host or path"}
 	}
 	c.kept = c.f.service(c.svc.Name)
-	c.route = c.svc.Route(c.r.Method, c.r.URL.Path)
-	firm, credential, ok := c.index.firm(c.r.Header)
+	firm, credential, ok := c.index.firm(c.r.Header, c.f.d.Firm)
 	if !ok {
 		return &statusError{http.StatusForbidden, "firm is unknown or needs its credential"}
 	}
 	c.firm = firm
-	c.key = c.r.Header.Get(headerKey)
+	if c.f.d.Key != "" {
+		c.key = c.r.Header.Get(c.f.d.Key)
+	}
 	c.once = c.key != "" || !c.route.Idempotent
-	c.header = outbound(c.r.Header, firm, c.key, credential)
+	c.header = c.f.outbound(c.r.Header, firm, c.key, credential)
 	if c.svc.Body > 0 && c.r.ContentLength > c.svc.Body {
 		return &statusError{http.StatusRequestEntityTooLarge, fmt.Sprintf("body is above %d bytes", c.svc.Body)}
 	}
 	return nil
 }
 
+// selectService finds the service by the rules, and without rules by the services' own hosts and prefixes.
+func (c *call) selectService() {
+	path := c.r.URL.EscapedPath()
+	if c.rule = c.index.rule(c.r.Host, path); c.rule != nil {
+		c.svc = c.index.services[c.index.turns[c.rule].next(c.rule.Parts)]
+		c.route = sycamorevane.Route{Name: c.rule.Name, Prefix: c.rule.Prefix, Idempotent: c.rule.Idempotent}
+		return
+	}
+	if c.svc = c.index.find(c.r.Host, c.r.URL.Path); c.svc != nil {
+		c.route = c.svc.Route(c.r.Method, c.r.URL.Path)
+	}
+}
+
 func (c *call) setDeadline() error {
 	c.timeout, c.progress = c.svc.Timeout, c.svc.Progress
 	if c.timeout <= 0 {
@@ -185,18 +219,25 @@
 	if c.progress <= 0 {
 		c.progress = defaultProgress
 	}
-	value := c.r.Header.Get(headerTimeout)
+	if c.rule != nil {
+		c.timeout = c.rule.Timeout
+		c.deadline = c.began.Add(c.timeout)
+	}
+	value := c.r.Header.Get(c.f.d.Timeout)
 	if value == "" {
 		return nil
 	}
 	ms, err := strconv.ParseInt(value, 10, 64)
 	if err != nil {
-		return &statusError{http.StatusBadRequest, headerTimeout + " is not a number of milliseconds"}
+		return &statusError{http.StatusBadRequest, c.f.d.Timeout + " is not a number of milliseconds"}
 	}
 	if ms <= 0 {
 		return c.refused("deadline has passed", retryAfter)
 	}
-	c.deadline = c.began.Add(min(maxTimeout, time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond))
+	wanted := c.began.Add(min(maxTimeout, time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond))
+	if c.deadline.IsZero() || wanted.Before(c.deadline) {
+		c.deadline = wanted
+	}
 	return nil
 }
 
@@ -302,7 +343,7 @@
 		c.replay(res.Answer)
 		return true, nil
 	case sycamorevane.ClaimMismatch:
-		return false, &statusError{http.StatusUnprocessableEntity, headerKey + " was used with another request"}
+		return false, &statusError{http.StatusUnprocessableEntity, c.f.d.Key + " was used with another request"}
 	case sycamorevane.ClaimRunning:
 		c.answerRunning()
 		return true, nil
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -32,6 +32,8 @@
 	// answered is when the last exchange ended well; the time of the dial for a new connection.
 	answered time.Time
 	reused   bool
+	// idleFor is after how long the server closes the connection when it is idle; 0 when it has not said.
+	idleFor time.Duration
 	// progress bounds each read and write of a body.
 	progress time.Duration
 	// head is the number of bytes that the header of the answer may still take; negative while the body is read.
@@ -67,6 +69,17 @@
 	return failed
 }
 
+// idleMargin is how long before the server closes an idle connection it is not used any more.
+const idleMargin = 1500 * time.Millisecond
+
+// idle returns how long the connection may have been idle for a use that allows age.
+func (c *serverConn) idle(age time.Duration) time.Duration {
+	if c.idleFor == 0 {
+		return age
+	}
+	return min(age, max(0, c.idleFor-idleMargin))
+}
+
 // quiet reports whether the connection is open and has no unread bytes. Bytes that arrive between exchanges
 // belong to no request, and a closed connection would make a request look as if it might have run.
 func (c *serverConn) quiet() bool {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -26,19 +26,6 @@
 // 300 the p99 gains nothing more and memory grows.
 const GCPercent = 300
 
-// Headers of the external interface.
-const (
-	headerRequestID = "X-Request-Id"
-	headerServer    = "X-Backend-Server"
-	headerVersion   = "X-Version"
-	headerAttempts  = "X-Attempts"
-	headerNotRun    = "X-Not-Run"
-	headerTimeout   = "X-Timeout-Ms"
-	headerFirm      = "X-Firm"
-	headerKey       = "Idempotency-Key"
-	headerRetry     = "Retry-After"
-)
-
 // Quarantine keeps requests that crash servers away from them.
 type Quarantine interface {
 	// Admit is called before each attempt. It returns *RefusedError for a quarantined request, and for a
@@ -70,8 +57,18 @@
 	State func() *sycamorevane.State
 	// Accepting reports whether new requests are served; nil means always.
 	Accepting func() bool
-	// Entries serves EntriesPath.
+	// Entries serves EntriesPath; nil when callers ask elsewhere.
 	Entries http.Handler
+	// Dialect names the headers; the zero value is Own.
+	Dialect Dialect
+	// Leaving reports that the entry is shutting down, so that callers are asked to use another connection; nil for never.
+	Leaving func() bool
+	// Grace is how long after its deadline a server's own answer is awaited; a server that stops at the deadline says so.
+	Grace time.Duration
+	// Peers is the number of entries that share the connections of a server; nil for the configured entries.
+	Peers func() int
+	// RetryBurst bounds the retries that may follow each other on this entry without new requests; 0 for the default.
+	RetryBurst func() float64
 	// Observe receives the outcome of each attempt; nil ignores them.
 	Observe func(service, version, route string, o sycamorevane.Outcome)
 	Log     logr.Logger
@@ -80,7 +77,11 @@
 
 // Forwarder is the caller listener's http.Handler.
 type Forwarder struct {
-	cfg   Config
+	cfg Config
+	d   Dialect
+	// internal are the headers that the system sets in requests to servers.
+	internal []string
+
 	boot  string
 	next  atomic.Uint64
 	index atomic.Pointer[index]
@@ -103,8 +104,14 @@
 	if cfg.Accepting == nil {
 		cfg.Accepting = func() bool { return true }
 	}
-	if cfg.Entries == nil {
-		cfg.Entries = http.NotFoundHandler()
+	if cfg.Dialect.RequestID == "" {
+		cfg.Dialect = Own()
+	}
+	if cfg.Leaving == nil {
+		cfg.Leaving = func() bool { return false }
+	}
+	if cfg.RetryBurst == nil {
+		cfg.RetryBurst = func() float64 { return maxTokens }
 	}
 	if cfg.Observe == nil {
 		cfg.Observe = func(string, string, string, sycamorevane.Outcome) {}
@@ -113,7 +120,7 @@
 		cfg.Metrics = tally.NoopScope
 	}
 	m := cfg.Metrics.SubScope("forwarder")
-	f := &Forwarder{cfg: cfg, boot: fmt.Sprintf("%08x", rand.Uint32()), services: make(map[string]*service)}
+	f := &Forwarder{cfg: cfg, d: cfg.Dialect, internal: cfg.Dialect.internal(), boot: fmt.Sprintf("%08x", rand.Uint32()), services: make(map[string]*service)}
 	f.counts = counts{
 		calls: m.Counter("calls"), refused: m.Counter("refused"), uncertain: m.Counter("uncertain"),
 		retries: m.Counter("retries"), hedges: m.Counter("hedges"), panics: m.Counter("panics"),
@@ -132,11 +139,14 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == EntriesPath {
+	if f.cfg.Entries != nil && r.URL.Path == EntriesPath {
 		f.cfg.Entries.ServeHTTP(w, r)
 		return
 	}
 	c := &call{f: f, w: w, r: r, began: time.Now(), rc: http.NewResponseController(w)}
+	if f.cfg.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	defer c.contain()
 	f.counts.calls.Inc(1)
 	if err := c.prepare(); err != nil {
@@ -162,12 +172,38 @@
 	delay  quantile
 }
 
+// turn is the state of a rule's split: a smooth weighted round robin, which keeps the shares also over few requests.
+type turn struct {
+	mu     sync.Mutex
+	credit map[string]float64
+}
+
+// next returns the service of the next request.
+func (t *turn) next(parts []sycamorevane.Part) string {
+	if len(parts) == 1 {
+		return parts[0].Service
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	total := 0
+	best := -1
+	for i, p := range parts {
+		total += p.Weight
+		t.credit[p.Service] += float64(p.Weight)
+		if p.Weight > 0 && (best < 0 || t.credit[p.Service] > t.credit[parts[best].Service]) {
+			best = i
+		}
+	}
+	t.credit[parts[best].Service] -= float64(total)
+	return parts[best].Service
+}
+
 func (f *Forwarder) service(name string) *service {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.services[name]
 	if !ok {
-		s = &service{budget: budget{tokens: initialTokens}, delay: quantile{value: hedgeStart.Seconds()}}
+		s = &service{budget: budget{tokens: min(initialTokens, f.cfg.RetryBurst())}, delay: quantile{value: hedgeStart.Seconds()}}
 		f.services[name] = s
 	}
 	return s
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -12,30 +12,24 @@
 	"Transfer-Encoding", "Upgrade",
 }
 
-// internal headers are set by the system; a caller's values are not trusted.
-var internal = []string{
-	headerRequestID, headerServer, headerVersion, headerAttempts, headerNotRun, headerTimeout, headerFirm,
-	"Content-Length", "Expect",
-}
-
 // outbound returns the headers to send to a server. The credential that named the firm stays here.
-func outbound(in http.Header, firm, key string, credential bool) http.Header {
+func (f *Forwarder) outbound(in http.Header, firm, key string, credential bool) http.Header {
 	out := make(http.Header, len(in)+4)
 	for name, values := range in {
 		out[name] = values
 	}
 	strip(out, in["Connection"])
-	for _, name := range internal {
+	for _, name := range f.internal {
 		delete(out, name)
 	}
 	if credential {
 		delete(out, "Authorization")
 	}
 	if firm != "" {
-		out[headerFirm] = []string{firm}
+		out[f.d.Firm] = []string{firm}
 	}
 	if key != "" {
-		out[headerKey] = []string{key}
+		out[f.d.Key] = []string{key}
 	}
 	if _, ok := out["User-Agent"]; !ok {
 		out["User-Agent"] = []string{""} // Keeps net/http from adding its own.
--- a/forwarder/index.go
+++ b/forwarder/index.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 
 	"sycamorevane.example/sycamorevane"
@@ -20,6 +21,12 @@
 	credentials map[string]*sycamorevane.Firm
 	// entries is the number of configured entry hosts, at least 1.
 	entries int
+	// rules holds the rules of each host, the longest prefix first.
+	rules map[string][]*sycamorevane.Rule
+	// services finds the service of a rule's part.
+	services map[string]*sycamorevane.Service
+	// turns hold the state of the splits by rule.
+	turns map[*sycamorevane.Rule]*turn
 }
 
 // current returns the index of the state in force, or nil before the first one.
@@ -41,11 +48,16 @@
 		state:       s,
 		hosts:       make(map[string]*sycamorevane.Service),
 		firms:       make(map[string]*sycamorevane.Firm),
+		rules:       make(map[string][]*sycamorevane.Rule),
+		services:    make(map[string]*sycamorevane.Service),
+		turns:       make(map[*sycamorevane.Rule]*turn),
 		credentials: make(map[string]*sycamorevane.Firm),
 		entries:     max(1, len(s.Config.HostsWith(sycamorevane.RoleEntry))),
 	}
+	x.addRules(s)
 	for i := range s.Config.Services {
 		svc := &s.Config.Services[i]
+		x.services[svc.Name] = svc
 		for _, h := range svc.Hosts {
 			x.hosts[strings.ToLower(h)] = svc
 		}
@@ -63,6 +75,31 @@
 	return x
 }
 
+func (x *index) addRules(s *sycamorevane.State) {
+	for i := range s.Config.Rules {
+		r := &s.Config.Rules[i]
+		host := strings.ToLower(r.Host)
+		x.rules[host] = append(x.rules[host], r)
+		x.turns[r] = &turn{credit: make(map[string]float64)}
+	}
+	for _, list := range x.rules {
+		slices.SortFunc(list, func(a, b *sycamorevane.Rule) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+}
+
+// rule returns the rule of a request, or nil.
+func (x *index) rule(host, path string) *sycamorevane.Rule {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range x.rules[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
 // find returns the service by Host, else by the longest configured path prefix, else nil.
 func (x *index) find(host, path string) *sycamorevane.Service {
 	if h, _, err := net.SplitHostPort(host); err == nil {
@@ -91,11 +128,14 @@
 
 // firm returns the name of the firm, whether its credential was used, and false when the request claims a firm
 // that it may not use. Requests that name none belong to the firm "".
-func (x *index) firm(h http.Header) (name string, credential, ok bool) {
+func (x *index) firm(h http.Header, header string) (name string, credential, ok bool) {
 	if firm := x.bearer(h); firm != nil {
 		return firm.Name, true, true
 	}
-	claimed := h.Get(headerFirm)
+	if header == "" {
+		return "", false, true
+	}
+	claimed := h.Get(header)
 	if claimed == "" {
 		return "", false, true
 	}
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -139,7 +139,7 @@
 		return nil, nil, errPoolClosed
 	}
 	now := time.Now()
-	for n := len(p.idle); n > 0 && now.Sub(p.idle[n-1].answered) < age; n = len(p.idle) {
+	for n := len(p.idle); n > 0 && now.Sub(p.idle[n-1].answered) < p.idle[n-1].idle(age); n = len(p.idle) {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
 		if c.quiet() {
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -27,7 +27,7 @@
 // run makes attempts until one brings an answer or no further one is allowed. An error means that there is no
 // answer from a server to pass on.
 func (c *call) run(ctx context.Context) (*result, error) {
-	c.kept.budget.deposit(c.svc.Retry)
+	c.kept.budget.deposit(c.svc.Retry, c.f.cfg.RetryBurst())
 	var held *result
 	refused := 0
 	for {
@@ -89,13 +89,20 @@
 	if !res.sent && res.kind != sycamorevane.OutcomeShed {
 		return refused < maxRefused
 	}
-	if c.attempts >= maxAttempts || !c.kept.budget.take(c.svc.Retry) {
+	if c.attempts >= c.maxAttempts() || !c.kept.budget.take(c.svc.Retry) {
 		return false
 	}
 	c.f.counts.retries.Inc(1)
 	return true
 }
 
+func (c *call) maxAttempts() int {
+	if c.rule != nil && c.rule.Attempts > 0 {
+		return c.rule.Attempts
+	}
+	return maxAttempts
+}
+
 // worthRetrying reports whether another server may answer better.
 func worthRetrying(status int) bool {
 	return slices.Contains([]int{
@@ -146,7 +153,7 @@
 // attempt runs one attempt, hedged by a second when the request may run twice and its body is in memory.
 func (c *call) attempt(ctx context.Context) *result {
 	c.attempts++
-	if c.once || (c.body != nil && !c.body.whole()) || c.svc.Retry <= 0 {
+	if c.once || (c.body != nil && !c.body.whole()) || c.svc.Retry <= 0 || c.attempts >= c.maxAttempts() {
 		return c.timed(c.try(ctx, c.avoid, false, nil))
 	}
 	h := &hedge{c: c, parent: ctx, done: make(chan *result, 1), ended: make(chan struct{})}
@@ -246,7 +253,7 @@
 		cancel()
 	}
 	if res.refused != nil {
-		h.c.kept.budget.deposit(1) // Nothing was sent.
+		h.c.kept.budget.deposit(1, h.c.f.cfg.RetryBurst()) // Nothing was sent.
 		return nil, false
 	}
 	h.c.f.counts.hedges.Inc(1)
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -38,7 +38,13 @@
 	Leader func() (bool, uint64)
 	// Read returns after this host has applied everything committed before the call.
 	Read func(context.Context) error
-	Log  logr.Logger
+	// Entries lists the entries to push to; nil for those of the configuration.
+	Entries func() []string
+	// Complete, when set, adds what else an entry is told with each push.
+	Complete func(m *encoder.StatePush, entry string)
+	// First returns whether a state may be handed to entries; nil for one with services.
+	First func(st *sycamorevane.State) bool
+	Log   logr.Logger
 }
 
 // Ack is what an entry last acknowledged.
@@ -65,6 +71,15 @@
 
 // New registers the message handlers. Start begins to push while this host leads.
 func New(cfg Config) *Publisher {
+	if cfg.Entries == nil {
+		cfg.Entries = func() []string { return cfg.State().Config.HostsWith(sycamorevane.RoleEntry) }
+	}
+	if cfg.Complete == nil {
+		cfg.Complete = func(*encoder.StatePush, string) {}
+	}
+	if cfg.First == nil {
+		cfg.First = func(st *sycamorevane.State) bool { return len(st.Config.Services) > 0 }
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Publisher{cfg: cfg, ctx: ctx, stop: stop, wake: make(chan struct{}, 1), acks: make(map[string]Ack)}
 	cfg.Transport.Handle(&encoder.StateAck{}, p.onAck)
@@ -110,7 +125,7 @@
 		return 0, 0
 	}
 	acks := p.Acks()
-	entries := st.Config.HostsWith(sycamorevane.RoleEntry)
+	entries := p.cfg.Entries()
 	for _, name := range entries {
 		if a, ok := acks[name]; ok && a.Version >= version {
 			have++
@@ -141,11 +156,12 @@
 		return
 	}
 	acks := p.Acks()
-	for _, name := range st.Config.HostsWith(sycamorevane.RoleEntry) {
+	for _, name := range p.cfg.Entries() {
 		m := &encoder.StatePush{Version: st.Version, Term: term, Leader: p.cfg.Transport.Self()}
 		if a, ok := acks[name]; ok && a.Version < st.Version {
 			m.State = p.encode(st)
 		}
+		p.cfg.Complete(m, name)
 		_ = p.cfg.Transport.Send(name, m) // An entry without a session asks when it comes back.
 	}
 }
@@ -156,7 +172,9 @@
 	if p.encoded != nil && p.version == st.Version {
 		return p.encoded
 	}
-	data, err := Encode(st)
+	sent := *st
+	sent.Config.Document = nil // Only operators read it.
+	data, err := Encode(&sent)
 	if err != nil {
 		p.cfg.Log.Error(err, "state cannot be encoded", "version", st.Version)
 		return nil
@@ -183,7 +201,7 @@
 		return nil
 	}
 	st := p.cfg.State()
-	if st == nil || len(st.Config.Services) == 0 {
+	if st == nil || !p.cfg.First(st) {
 		return nil // No configuration has been applied yet.
 	}
 	reply := &encoder.StatePush{Version: st.Version, Leader: p.cfg.Transport.Self()}
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -29,6 +29,12 @@
 	}
 	_, oldIn := c.member(old)
 	n, newIn := c.member(new)
+	if old == "" && new != "" {
+		return c.addMember(new, newIn && n.Voter, newIn)
+	}
+	if new == "" && old != "" {
+		return c.removeMember(old, oldIn)
+	}
 	switch {
 	case new == "" || old == new:
 		return false, errors.NotValidf("replacement of %q by %q", old, new)
@@ -53,6 +59,35 @@
 	return false, nil
 }
 
+// addMember lets a host join as learner; manage makes it a voter once it has caught up.
+func (c *core) addMember(name string, votes, in bool) (done bool, err error) {
+	switch {
+	case votes:
+		return c.settled(), nil
+	case in:
+		return false, nil
+	case !c.settled():
+		return false, errors.NotYetAvailablef("membership: the last change is not committed, a new one")
+	}
+	c.change(append(slices.Clone(c.log.members()), Member{Name: name}))
+	return false, nil
+}
+
+// removeMember takes a host out for good. The others must hold a majority without it, or the group would be stuck
+// behind the change.
+func (c *core) removeMember(name string, in bool) (done bool, err error) {
+	switch {
+	case !in:
+		return c.settled(), nil
+	case name == c.self:
+		return false, errors.NotValidf("removal of the leader %q by itself", name)
+	case !c.settled():
+		return false, errors.NotYetAvailablef("membership: the last change is not committed, a new one")
+	}
+	c.change(slices.DeleteFunc(slices.Clone(c.log.members()), func(m Member) bool { return m.Name == name }))
+	return false, nil
+}
+
 func (c *core) change(members []Member) {
 	c.add(kindMembers, encodeMembers(members))
 	c.broadcast()
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -83,6 +83,8 @@
 	// recovering is true while the host does not vote since it may have lost its disk.
 	recovering bool
 	members    []Member
+	// silence is how long each other member has not answered this leader; nil on other hosts.
+	silence map[string]time.Duration
 }
 
 type requestKind uint8
@@ -461,10 +463,17 @@
 		leader: c.leader, self: c.role == leader, term: c.hard.Term, applied: c.applied, failed: c.failed,
 		recovering: c.recovering, members: c.log.members(),
 	}
+	if c.role == leader {
+		s.silence = make(map[string]time.Duration, len(c.peers))
+		for name, p := range c.peers {
+			s.silence[name] = time.Duration(p.heard) * TickInterval
+		}
+	}
 	r.mu.Lock()
 	old := r.status
 	newLeader := old.leader != s.leader || old.term != s.term
 	if !newLeader && old.applied == s.applied && old.failed == s.failed && old.recovering == s.recovering && slices.Equal(old.members, s.members) {
+		r.status.silence = s.silence
 		r.mu.Unlock()
 		return
 	}
--- a/replicator/request.go
+++ b/replicator/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -101,6 +102,24 @@
 	}
 }
 
+// Join makes a host a member, without another one leaving. Errors: as Replace.
+func (r *Replicator) Join(ctx context.Context, name string) error { return r.Replace(ctx, "", name) }
+
+// Remove takes a host out of the membership for good. Errors: as Replace.
+func (r *Replicator) Remove(ctx context.Context, name string) error { return r.Replace(ctx, name, "") }
+
+// Silent lists the members that have not answered this leader for at least d; empty on other hosts.
+func (r *Replicator) Silent(d time.Duration) []string {
+	var names []string
+	for name, since := range r.read().silence {
+		if since >= d {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // ask gives a request to the leader, here or on another host. An error means an unknown outcome.
 func (r *Replicator) ask(ctx context.Context, req *request, m proto.Message) (*encoder.ConsensusReply, error) {
 	r.mu.Lock()
--- /dev/null
+++ b/resolver/directory.go
@@ -0,0 +1,115 @@
+package resolver
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/encoder"
+)
+
+// minChoices is how many addresses an answer has at least, as long as there are so many: a caller that finds one of
+// them dead needs another one at once.
+const minChoices = 2
+
+// DirectoryConfig holds what a Directory is built from.
+type DirectoryConfig struct {
+	Transport sycamorevane.Transport
+	// Max bounds the addresses of an answer.
+	Max int
+}
+
+// Directory knows on a control host which entries take requests, in a deployment whose configuration lists no hosts.
+type Directory struct {
+	cfg DirectoryConfig
+
+	mu      sync.Mutex
+	entries map[string]place
+}
+
+// place is what an entry said of itself last.
+type place struct {
+	addr, dc  string
+	accepting bool
+	at        time.Time
+}
+
+// NewDirectory registers the message handler.
+func NewDirectory(cfg DirectoryConfig) *Directory {
+	d := &Directory{cfg: cfg, entries: make(map[string]place)}
+	cfg.Transport.Handle(&encoder.Presence{}, d.onPresence)
+	return d
+}
+
+func (d *Directory) onPresence(from string, m proto.Message) proto.Message {
+	p, _ := m.(*encoder.Presence)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries[from] = place{addr: p.Addr, dc: p.Dc, accepting: p.Accepting && !p.Leaving, at: time.Now()}
+	return nil
+}
+
+// live returns the entries that take requests, by name.
+func (d *Directory) live(now time.Time) ([]string, map[string]place) {
+	alive := sycamorevane.NewSet[string]()
+	for _, p := range d.cfg.Transport.Peers() {
+		if p.Alive {
+			alive.Add(p.Name)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var names []string
+	places := make(map[string]place)
+	for name, p := range d.entries {
+		if now.Sub(p.at) > presenceLife {
+			delete(d.entries, name)
+			continue
+		}
+		if p.accepting && alive.Has(name) {
+			names = append(names, name)
+			places[name] = p
+		}
+	}
+	slices.Sort(names)
+	return names, places
+}
+
+// Share returns the rank of an entry among those that take requests, and their number. The rank of another host is
+// their number.
+func (d *Directory) Share(names []string, entry string) (rank, entries int) {
+	i, found := slices.BinarySearch(names, entry)
+	if !found {
+		return len(names), len(names)
+	}
+	return i, len(names)
+}
+
+// Names lists the entries that take requests, sorted.
+func (d *Directory) Names() []string {
+	names, _ := d.live(time.Now())
+	return names
+}
+
+// Addresses returns where callers in the data centre should connect: to the entries there, and to others only when
+// these are too few.
+func (d *Directory) Addresses(dc string) []string {
+	names, places := d.live(time.Now())
+	var near, far []string
+	for _, name := range names {
+		if p := places[name]; p.dc == dc {
+			near = append(near, p.addr)
+		} else {
+			far = append(far, p.addr)
+		}
+	}
+	if len(near) < minChoices {
+		near = append(near, far...)
+	}
+	slices.SortStableFunc(near, cmp.Compare[string])
+	return near[:min(len(near), d.cfg.Max)]
+}
--- /dev/null
+++ b/runner/open.go
@@ -0,0 +1,231 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/administrator"
+	"sycamorevane.example/sycamorevane/cataloger"
+	"sycamorevane.example/sycamorevane/forwarder"
+	"sycamorevane.example/sycamorevane/messenger"
+	"sycamorevane.example/sycamorevane/parser"
+	"sycamorevane.example/sycamorevane/recorder"
+)
+
+// Adapter is how a deployment speaks to the system: names, formats and calls.
+type Adapter interface {
+	Dialect() forwarder.Dialect
+	// Control serves operators and backend servers.
+	Control(Control) http.Handler
+	// Directory serves callers that ask where to connect.
+	Directory(addresses func(dc string) []string, ttl time.Duration) http.Handler
+	// Ready serves whoever asks whether the entry takes requests.
+	Ready(ready func() bool) http.Handler
+}
+
+// Control is what operators and backend servers can ask of a control host.
+type Control struct {
+	Administrator *administrator.Administrator
+	Keeper        *cataloger.Keeper
+	DCs           []string
+}
+
+// OpenConfig holds what an Open process is built from.
+type OpenConfig struct {
+	Settings *parser.OpenSettings
+	// Reload reads the settings again; they may name other seeds later.
+	Reload  func() (*parser.OpenSettings, error)
+	Adapter Adapter
+	Log     logr.Logger
+}
+
+const (
+	// contactInterval is how often a process looks for hosts that it should have a session with.
+	contactInterval = 500 * time.Millisecond
+	// memoryShare is the part of the process's memory limit that the heap may take before it is collected harder.
+	memoryShare = 0.5
+	// openCollect is the garbage collection target of processes on hosts with little memory and processor.
+	openCollect = 200
+)
+
+// Open is one process of an open deployment.
+type Open struct {
+	cfg     OpenConfig
+	mesh    *messenger.Messenger
+	metrics *recorder.Metrics
+	entry   *openEntry
+	control *openControl
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu sync.Mutex
+	// members are the control hosts that the leader named last.
+	members []string
+}
+
+// NewOpen opens all listeners and the data folder.
+func NewOpen(cfg OpenConfig) (*Open, error) {
+	s := cfg.Settings
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare * (1 << 20)))
+	}
+	debug.SetGCPercent(openCollect)
+	roles := sycamorevane.NewSet[string]()
+	if s.Entry != nil {
+		roles.Add(sycamorevane.RoleEntry)
+	}
+	if s.Control != nil {
+		roles.Add(sycamorevane.RoleControl)
+	}
+	cfg.Log = cfg.Log.WithValues("host", s.Name)
+	mesh, err := messenger.New(messenger.Config{
+		Self: s.Mesh(), DC: s.DC, Roles: roles, Listen: s.Mesh(), Key: s.Key, Log: cfg.Log,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	o := &Open{cfg: cfg, mesh: mesh, metrics: recorder.NewMetrics(s.Name)}
+	o.ctx, o.cancel = context.WithCancel(context.Background())
+	if s.Control != nil {
+		if o.control, err = newOpenControl(o); err != nil {
+			return nil, errors.Annotate(err, "control role")
+		}
+	}
+	if s.Entry != nil {
+		if o.entry, err = newOpenEntry(o); err != nil {
+			return nil, errors.Annotate(err, "entry role")
+		}
+	}
+	return o, nil
+}
+
+// Start begins to serve.
+func (o *Open) Start() error {
+	o.mesh.Start()
+	o.contact()
+	if o.control != nil {
+		if err := o.control.start(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if o.entry != nil {
+		o.entry.start()
+	}
+	o.wg.Go(o.contactLoop)
+	o.cfg.Log.Info("process started", "mesh", o.mesh.Addr(), "seeds", o.cfg.Settings.Seeds, "first", o.cfg.Settings.First)
+	return nil
+}
+
+// Stop is a graceful shutdown within ctx.
+func (o *Open) Stop(ctx context.Context) {
+	o.cfg.Log.Info("process stops")
+	if o.entry != nil {
+		o.entry.stop(ctx)
+	}
+	if o.control != nil {
+		o.control.stop(ctx)
+	}
+	o.cancel()
+	o.mesh.Close()
+	o.wg.Wait()
+	_ = o.metrics.Close()
+	o.cfg.Log.Info("process stopped")
+}
+
+// seeds reads the settings again, since they may have changed without notice.
+func (o *Open) seeds() []string {
+	s, err := o.cfg.Reload()
+	if err != nil {
+		o.cfg.Log.Info("settings not read again, the former ones hold", "reason", err.Error())
+		s = o.cfg.Settings
+	}
+	return s.SeedMeshes()
+}
+
+func (o *Open) contactLoop() {
+	t := time.NewTicker(contactInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			o.contact()
+		case <-o.ctx.Done():
+			return
+		}
+	}
+}
+
+// contact keeps sessions with all control hosts, and with the seeds while none of these is reached.
+func (o *Open) contact() {
+	wanted := sycamorevane.NewSet(o.controls()...)
+	reached := false
+	for _, p := range o.mesh.Peers() {
+		reached = reached || p.Alive && wanted.Has(p.Name)
+	}
+	if !reached {
+		for _, name := range o.seeds() {
+			wanted.Add(name)
+		}
+	}
+	delete(wanted, o.mesh.Self())
+	for name := range wanted {
+		o.mesh.Connect(name, "", name)
+	}
+	for _, p := range o.mesh.Peers() {
+		if p.Addr != "" && !wanted.Has(p.Name) && (reached || !p.Alive) {
+			o.mesh.Forget(p.Name)
+		}
+	}
+}
+
+// controls lists the control hosts as known here.
+func (o *Open) controls() []string {
+	if o.control != nil {
+		return o.control.members()
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.members)
+}
+
+// contacts lists the hosts to ask, with the seeds when no control host is known.
+func (o *Open) contacts() []string {
+	if list := o.controls(); len(list) > 0 {
+		return list
+	}
+	return o.seeds()
+}
+
+func (o *Open) setMembers(members []string) {
+	if len(members) == 0 {
+		return
+	}
+	o.mu.Lock()
+	changed := !slices.Equal(o.members, members)
+	o.members = members
+	o.mu.Unlock()
+	if changed {
+		o.cfg.Log.Info("control hosts changed", "members", members)
+	}
+}
+
+// serveHTTP runs an HTTP server for calls of the deployment until stop.
+func (o *Open) serveHTTP(l net.Listener, h http.Handler) *http.Server {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	o.wg.Go(func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			o.cfg.Log.Error(err, "listener ended", "addr", l.Addr().String())
+		}
+	})
+	return server
+}
--- /dev/null
+++ b/runner/open_entry.go
@@ -0,0 +1,173 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/net/netutil"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/cataloger"
+	"sycamorevane.example/sycamorevane/dispatcher"
+	"sycamorevane.example/sycamorevane/encoder"
+	"sycamorevane.example/sycamorevane/forwarder"
+	"sycamorevane.example/sycamorevane/promoter"
+	"sycamorevane.example/sycamorevane/subscriber"
+)
+
+const (
+	// answerGrace lets a server's own answer at the deadline arrive.
+	answerGrace = 60 * time.Millisecond
+	// directoryTTL is how long callers may use the directory's answer; bounded by the deployment's own limit.
+	directoryTTL = 2 * time.Second
+	// leaveShare is the part of the grace period in which a leaving entry still takes connections: callers keep the
+	// directory's answer for up to its time to live and find the entry closed afterwards.
+	leaveShare = 0.5
+	// openCallers bounds the callers' connections, which share the descriptors of a small host with those to servers.
+	openCallers = 2500
+	// openHeader bounds a request header in bytes where the configuration has not said.
+	openHeader = 64 << 10
+)
+
+// openEntry is the entry role in an open deployment. It needs no other entry: it places requests by its own view and
+// learns configuration and servers from the control leader.
+type openEntry struct {
+	o         *Open
+	sub       *subscriber.Subscriber
+	catalog   *cataloger.Follower
+	place     *dispatcher.Dispatcher
+	fwd       *forwarder.Forwarder
+	collector *promoter.Collector
+	reporter  *promoter.Reporter
+	callers   net.Listener
+	ready     net.Listener
+	server    *http.Server
+	status    *http.Server
+	rank      atomic.Int64
+	entries   atomic.Int64
+	leaving   atomic.Bool
+}
+
+func newOpenEntry(o *Open) (*openEntry, error) {
+	e := &openEntry{o: o, collector: promoter.NewCollector(processClock)}
+	e.sub = subscriber.New(subscriber.Config{
+		Transport: o.mesh, Controls: o.contacts, Alone: true, Changed: e.changed, Pushed: e.pushed, Log: o.cfg.Log,
+	})
+	e.catalog = cataloger.NewFollower(cataloger.FollowerConfig{
+		Transport: o.mesh, Changed: func() { e.place.Update() }, Log: o.cfg.Log,
+	})
+	b := o.cfg.Settings.Bounds
+	e.place = dispatcher.New(dispatcher.Config{
+		DC: o.cfg.Settings.DC, Bounds: dispatcher.Bounds{ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack},
+		Servers: e.catalog.All, State: e.sub.State, Blocked: e.collector.Blocked, Share: e.share,
+		Log: o.cfg.Log, Metrics: o.metrics,
+	})
+	e.fwd = forwarder.New(forwarder.Config{
+		Self: o.cfg.Settings.Name, Limiter: e.place, State: e.sub.State, Dialect: o.cfg.Adapter.Dialect(),
+		Observe: e.collector.Observe, Grace: answerGrace, Leaving: e.leaving.Load,
+		Peers:      func() int { return int(max(1, e.entries.Load())) },
+		RetryBurst: e.retryBurst, Log: o.cfg.Log, Metrics: o.metrics,
+	})
+	e.reporter = promoter.NewReporter(promoter.ReporterConfig{
+		Transport: o.mesh, Collector: e.collector, Log: o.cfg.Log, Leader: e.sub.Leader,
+	})
+	var err error
+	if e.callers, err = net.Listen("tcp", o.cfg.Settings.Entry.Caller); err != nil {
+		return nil, errors.Annotate(err, "caller listener")
+	}
+	if e.ready, err = net.Listen("tcp", o.cfg.Settings.Entry.Ready); err != nil {
+		return nil, errors.Annotate(err, "ready listener")
+	}
+	return e, nil
+}
+
+// retryBurst is this entry's part of the retries that all entries may send besides a share of the requests.
+func (e *openEntry) retryBurst() float64 {
+	return e.o.cfg.Settings.Bounds.RetrySlack / float64(max(1, e.entries.Load())) / 2
+}
+
+func (e *openEntry) share() (rank, entries int) { return int(e.rank.Load()), int(e.entries.Load()) }
+
+func (e *openEntry) changed(st *sycamorevane.State) {
+	e.collector.Update(st.Rollouts)
+	e.place.Update()
+}
+
+// pushed takes what the control leader says besides the state.
+func (e *openEntry) pushed(from string, m *encoder.StatePush) {
+	e.o.setMembers(m.Members)
+	e.rank.Store(int64(m.Rank))
+	e.entries.Store(int64(m.Entries))
+	e.catalog.Announced(from, m.Epoch, m.Revision)
+}
+
+func (e *openEntry) start() {
+	e.sub.Start()
+	e.reporter.Start()
+	e.o.wg.Go(e.presenceLoop)
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.o.metrics)
+	mux.Handle("/", e.o.cfg.Adapter.Ready(e.accepting))
+	e.status = e.o.serveHTTP(e.ready, mux)
+	e.server = &http.Server{
+		Handler: e.fwd, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: openHeader,
+		ConnContext: forwarder.WatchContext,
+	}
+	l := forwarder.Guard(forwarder.Watch(netutil.LimitListener(e.callers, openCallers)))
+	e.o.wg.Go(func() {
+		if err := e.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			e.o.cfg.Log.Error(err, "caller listener ended")
+		}
+	})
+}
+
+// accepting reports whether callers may be sent here.
+func (e *openEntry) accepting() bool { return e.sub.Connected() && !e.leaving.Load() }
+
+func (e *openEntry) presenceLoop() {
+	t := time.NewTicker(presenceInterval)
+	defer t.Stop()
+	for {
+		e.announce()
+		select {
+		case <-t.C:
+		case <-e.o.ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *openEntry) announce() {
+	s := e.o.cfg.Settings
+	m := &encoder.Presence{
+		Accepting: e.accepting(), Leaving: e.leaving.Load(), Addr: s.Entry.Caller, Dc: s.DC,
+	}
+	for _, p := range e.o.mesh.Peers() {
+		if p.Alive && p.Roles.Has(sycamorevane.RoleControl) {
+			if err := e.o.mesh.Send(p.Name, m); err != nil {
+				e.o.cfg.Log.V(1).Info("presence not sent", "peer", p.Name, "reason", err.Error())
+			}
+		}
+	}
+}
+
+// stop leaves the directory, serves while callers still use its former answers, and finishes running requests.
+func (e *openEntry) stop(ctx context.Context) {
+	e.leaving.Store(true)
+	e.sub.Leave()
+	e.announce()
+	wait(ctx, time.Duration(float64(e.o.cfg.Settings.Bounds.Grace)*leaveShare))
+	if err := e.server.Shutdown(ctx); err != nil {
+		e.o.cfg.Log.Info("requests cut at the end of the grace period", "reason", err.Error())
+		_ = e.server.Close()
+	}
+	_ = e.status.Close()
+	e.reporter.Close()
+	e.fwd.Close()
+	e.catalog.Close()
+	e.sub.Close()
+}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -31,6 +31,12 @@
 	Transport sycamorevane.Transport
 	// Control lists the names of the control hosts known from the settings.
 	Control []string
+	// Controls, when set, lists the control hosts in place of the configuration.
+	Controls func() []string
+	// Alone lets the entry serve with its last state also when it is cut off from control and its peers.
+	Alone bool
+	// Pushed, when set, receives each push of a control leader.
+	Pushed func(from string, m *encoder.StatePush)
 	// Changed is called after a new state has come into force, in version order.
 	Changed func(*sycamorevane.State)
 	// CutOff, when set, is called when the entry has lost contact and takes no new requests any more.
@@ -131,7 +137,7 @@
 	s.mu.Lock()
 	s.majority = majority
 	was := s.cutOff
-	s.cutOff = now.Sub(s.contact) > ContactLimit && now.Sub(s.majority) > ContactLimit
+	s.cutOff = !s.cfg.Alone && now.Sub(s.contact) > ContactLimit && now.Sub(s.majority) > ContactLimit
 	is := s.cutOff
 	s.mu.Unlock()
 	if is == was || s.State() == nil {
@@ -189,7 +195,9 @@
 // controls lists the control hosts with the last known leader first.
 func (s *Subscriber) controls() []string {
 	names := s.cfg.Control
-	if st := s.State(); st != nil {
+	if s.cfg.Controls != nil {
+		names = s.cfg.Controls()
+	} else if st := s.State(); st != nil {
 		names = st.Config.HostsWith(sycamorevane.RoleControl)
 	}
 	s.mu.Lock()
@@ -229,6 +237,9 @@
 	if s.version() < push.Version {
 		s.signal()
 	}
+	if s.cfg.Pushed != nil {
+		s.cfg.Pushed(from, push)
+	}
 	_ = s.cfg.Transport.Send(from, &encoder.StateAck{Version: s.version(), Leaving: s.Leaving()})
 	return nil
 }
--- a/types.go
+++ b/types.go
@@ -42,6 +42,18 @@
 	State ServerState
 	// Load is the last announced load in requests; it may be old or wrong.
 	Load int
+	// Label is what the server calls itself in its answers; empty when that is its ID. Two starts may share it.
+	Label string
+}
+
+// Load is what a server says of itself in an answer. Another caller's requests are part of it.
+type Load struct {
+	// Running and Waiting count requests.
+	Running, Waiting int
+	// Slots is how many requests the server runs at once; 0 when it does not say.
+	Slots int
+	// Pace is how long work takes now relative to the usual time; 1 is usual, 0 means unknown.
+	Pace float64
 }
 
 // Ask describes the request that a Limiter finds a server for.
@@ -58,6 +70,10 @@
 	Deadline time.Time
 	// Avoid lists server IDs that have already failed this request.
 	Avoid []string
+	// Priority is the rank of the request, 0 the most urgent.
+	Priority int
+	// Aim is the time by which an answer has its full worth; zero when there is none.
+	Aim time.Time
 }
 
 // Grant is the right to run one request on one server.
@@ -108,6 +124,10 @@
 	Route   string
 	// Fingerprint identifies the request for crash detection; zero when it has none.
 	Fingerprint uint64
+	// Load is what the server said of itself; nil when it said nothing.
+	Load *Load
+	// Stale is set when another server has the address now.
+	Stale bool
 }
 
 // Answer is a recorded response to a request with an idempotency key.
@@ -235,8 +255,47 @@
 	// Body bounds a request body in bytes.
 	Body   int64
 	Routes []Route
+	// Health is the path at which a server says whether it is well; empty for none.
+	Health string `json:",omitempty"`
+	// Conns bounds the open connections to one server over all entries; 0 leaves it to what the server announces.
+	Conns int `json:",omitempty"`
+	// Cold is how long a server stays cold after its start, ColdRate the requests per second that it then bears.
+	Cold     time.Duration `json:",omitempty"`
+	ColdRate float64       `json:",omitempty"`
+}
+
+// Part is one destination of a rule.
+type Part struct {
+	Service string
+	// Weight is the part's share relative to the sum over the rule's parts; not negative.
+	Weight int
 }
 
+// Rule sends the requests of a host and path prefix to services. Of the rules of a host the one with the longest
+// matching prefix applies.
+type Rule struct {
+	Name string
+	// Host is compared with the Host header without its port, in lower case; never empty.
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Idempotent says whether a second run of the same request does no harm.
+	Idempotent bool
+	// Timeout is the longest time a caller is kept waiting; more than 0 and at most MaxRuleTimeout.
+	Timeout time.Duration
+	// Aim is the time within which an answer has its full worth; 0 for none.
+	Aim time.Duration
+	// Priority is the rank, 0 the most urgent.
+	Priority int
+	// Attempts bounds the servers that one request may be sent to; 0 for the default.
+	Attempts int
+	// Parts are the services that get the requests; at least one with a positive weight.
+	Parts []Part
+}
+
+// MaxRuleTimeout is the longest Timeout of a rule.
+const MaxRuleTimeout = 10 * time.Minute
+
 // Route returns the configured route with the longest matching prefix, or the default route of the method.
 func (s *Service) Route(method, path string) Route {
 	best := Route{Idempotent: defaultIdempotent(method)}
@@ -266,6 +325,10 @@
 	Header int
 	// Retention is how long a finished claim is kept.
 	Retention time.Duration
+	// HeaderTime bounds the arrival of a request header, Idle the time between two requests of a connection; 0 for
+	// the defaults.
+	HeaderTime time.Duration `json:",omitempty"`
+	Idle       time.Duration `json:",omitempty"`
 }
 
 // Config is what operators apply; control versions it.
@@ -275,6 +338,13 @@
 	DCs      []string
 	Hosts    []Host
 	Limits   Limits
+	// Number orders whole configurations of a deployment whose operators number them: the highest takes effect.
+	// It is 0 where changes are ordered by State.Version.
+	Number uint64 `json:",omitempty"`
+	// Rules route requests where services are not selected by their own hosts and prefixes.
+	Rules []Rule `json:",omitempty"`
+	// Document is the configuration as the operator sent it; entries do not get it.
+	Document []byte `json:",omitempty"`
 }
 
 // Service returns the named service or nil.
