Tell entries the control hosts with every answer of a control host

Cause: after a loss of power entries knew only the seeds.

Change: the answer to an entry's request for the state names the members; an entry without a push for 1.5 s asks. Requests without an answer of a server are logged with what decided them, sampled by kind.

--- a/cataloger/follower.go
+++ b/cataloger/follower.go
@@ -127,6 +127,8 @@
 	}
 	f.revision = max(f.revision, push.Revision)
 	f.catalog.Forget(now, forgetAfter)
+	f.cfg.Log.Info("catalog changed", "epoch", push.Epoch, "revision", push.Revision, "full", push.Full,
+		"records", len(push.Records), "servers", len(f.catalog.entries))
 	return true
 }
 
--- a/cataloger/keeper.go
+++ b/cataloger/keeper.go
@@ -101,10 +101,16 @@
 			r = merged(known, r)
 		}
 	}
+	_, known := k.catalog.Get(r.Server.ID)
 	if k.catalog.Merge(r, now) {
 		k.pending[r.Server.ID] = r
 	}
+	_, taken := k.catalog.Get(r.Server.ID)
 	k.mu.Unlock()
+	if !known {
+		k.cfg.Log.Info("server reported first", "server", r.Server.ID, "service", r.Server.Service, "addr", r.Server.Addr,
+			"version", r.Server.Version, "born", r.Born, "sequence", r.Sequence, "taken", taken)
+	}
 	if !r.Left && !r.Draining {
 		return nil
 	}
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -50,6 +50,7 @@
 }
 
 func (c *call) write(status int, notRun bool, after time.Duration, reason string) {
+	c.explainRefusal(status, notRun, after, reason)
 	h := c.w.Header()
 	h.Set("Content-Type", "application/json")
 	if c.f.d.Marks {
@@ -71,6 +72,31 @@
 	c.writeWhole(status, body)
 }
 
+// explainRefusal logs why a request got no answer of a server.
+func (c *call) explainRefusal(status int, notRun bool, after time.Duration, reason string) {
+	server := ""
+	if c.uncertain != nil {
+		server = c.uncertain.Server
+	}
+	service := ""
+	if c.svc != nil {
+		service = c.svc.Name
+	}
+	now := time.Now()
+	c.f.sampler.Info(now, "request failed", "request", c.r.Header.Get(c.f.d.RequestID), "status", status, "notrun", notRun,
+		"reason", reason, "service", service, "route", c.route.Name, "attempts", c.attempts, "tried", c.avoid, "server", server,
+		"ms", now.Sub(c.began).Milliseconds(), "left", c.deadline.Sub(now).Milliseconds(), "after", after.Milliseconds(),
+		"version", c.version())
+}
+
+// version is the state version that decided the request; 0 before the first.
+func (c *call) version() uint64 {
+	if c.index == nil {
+		return 0
+	}
+	return c.index.state.Version
+}
+
 // mayRetry reports whether the same request may be answered better later.
 func mayRetry(status int) bool {
 	return status >= http.StatusInternalServerError || status == http.StatusTooManyRequests ||
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/recorder"
 )
 
 // EntriesPath is served by the entry itself; every other path is proxied.
@@ -92,6 +93,7 @@
 	mu       sync.Mutex
 	services map[string]*service
 	counts   counts
+	sampler  *recorder.Sampler
 }
 
 // counts are the metrics of a forwarder.
@@ -126,6 +128,7 @@
 		retries: m.Counter("retries"), hedges: m.Counter("hedges"), panics: m.Counter("panics"),
 		truncated: m.Counter("truncated"), mismatched: m.Counter("mismatched"),
 	}
+	f.sampler = recorder.NewSampler(cfg.Log)
 	f.pools.init()
 	return f
 }
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -208,6 +208,7 @@
 	if ask.Have < st.Version {
 		reply.State = p.encode(st)
 	}
+	p.cfg.Complete(reply, from)
 	return reply
 }
 
--- a/runner/open_control.go
+++ b/runner/open_control.go
@@ -159,7 +159,9 @@
 	rank, entries := c.dir.Share(c.dir.Names(), entry)
 	m.Members = c.members()
 	m.Rank, m.Entries = uint32(rank), uint32(entries)
-	m.Epoch, m.Revision = c.keeper.Revision()
+	if self, _ := c.leads(); self {
+		m.Epoch, m.Revision = c.keeper.Revision()
+	}
 }
 
 func (c *openControl) left(id string) bool {
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -24,6 +24,8 @@
 	ContactLimit = 3 * time.Second
 	tickInterval = 250 * time.Millisecond
 	askTimeout   = time.Second
+	// quietLimit is the silence after which an entry asks by itself; two pushes are missed by then.
+	quietLimit = 1500 * time.Millisecond
 )
 
 // Config holds what a Subscriber is built from.
@@ -118,7 +120,7 @@
 			return
 		}
 		s.watch(time.Now())
-		if s.behind() {
+		if s.behind() || s.cfg.Alone && s.unheard(time.Now()) {
 			s.ask()
 		}
 	}
@@ -131,6 +133,13 @@
 	return st == nil || st.Version < s.pending
 }
 
+// unheard reports whether pushes stay away, for example because this entry does not know the leader's host yet.
+func (s *Subscriber) unheard(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.contact) > quietLimit
+}
+
 // watch updates whether the entry is cut off.
 func (s *Subscriber) watch(now time.Time) {
 	majority := s.peerMajority(now)
@@ -185,6 +194,9 @@
 		}
 		if push, ok := reply.(*encoder.StatePush); ok {
 			s.contacted()
+			if s.cfg.Pushed != nil {
+				s.cfg.Pushed(name, push)
+			}
 			if s.adopt(push) {
 				return
 			}
