Do not go back to a version whose servers have ended

Cause: on the platform the old servers stop without notice when a rollout is completed.

Change: Rollout.Final ends the rollout when it is done.

Test: TestFinalRolloutIsNotRevertedAfterItIsDone.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -108,7 +108,7 @@
 	return a.commit(ctx, applier.Command{
 		Op: applier.OpRollout, Force: true,
 		Args: applier.Args{
-			Service: service, To: version, Deadline: now.Add(allowed).UnixMilli(), Versions: a.cfg.Versions(service),
+			Service: service, To: version, Deadline: now.Add(allowed).UnixMilli(), Versions: a.cfg.Versions(service), Final: true,
 		},
 	})
 }
--- a/applier/command.go
+++ b/applier/command.go
@@ -69,6 +69,8 @@
 	To string `json:"to,omitempty"`
 	// Deadline of a rollout in Unix ms.
 	Deadline int64 `json:"deadline,omitempty"`
+	// Final says that the old servers of a rollout end when the new version has taken over.
+	Final bool `json:"final,omitempty"`
 	// Host and With are the control hosts of a replacement.
 	Host string `json:"host,omitempty"`
 	With string `json:"with,omitempty"`
--- a/applier/ops.go
+++ b/applier/ops.go
@@ -285,6 +285,9 @@
 	if to == "" {
 		return refuse("no version given")
 	}
+	if last, ok := s.Rollouts[service]; ok && !last.Phase.Final() && last.To == to && c.Force {
+		return unchanged("service %q moves to %q already", service, to) // The same order was sent twice at once.
+	}
 	if last, ok := s.Rollouts[service]; ok && !last.Phase.Final() {
 		return refuse("service %q already has a rollout to %q in phase %s", service, last.To, last.Phase)
 	}
@@ -311,7 +314,7 @@
 	next := *s
 	next.Rollouts = with(s.Rollouts, service, sycamorevane.Rollout{
 		ID: c.ID, Service: service, From: from, To: to, Phase: sycamorevane.RolloutWaiting,
-		Reason: "accepted", Started: c.At, Deadline: c.Args.Deadline, Changed: c.At, By: c.By,
+		Reason: "accepted", Started: c.At, Deadline: c.Args.Deadline, Changed: c.At, By: c.By, Final: c.Args.Final,
 	})
 	return applied(&next)
 }
--- a/promoter/collector.go
+++ b/promoter/collector.go
@@ -80,7 +80,7 @@
 	old := *c.watches.Load()
 	next := make(map[string]*watch, len(rollouts))
 	for service, r := range rollouts {
-		if r.Phase == sycamorevane.RolloutReverted {
+		if r.Phase == sycamorevane.RolloutReverted || r.Phase == sycamorevane.RolloutDone && r.Final {
 			continue
 		}
 		w := old[service]
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -325,6 +325,9 @@
 	case sycamorevane.RolloutReverting:
 		return t.finishRevert(now, s)
 	case sycamorevane.RolloutDone:
+		if r.Final {
+			return s // The old servers have ended.
+		}
 		return t.watch(now, r, capacity, known, s)
 	case sycamorevane.RolloutWaiting, sycamorevane.RolloutTrial, sycamorevane.RolloutMoving:
 	}
--- /dev/null
+++ b/promoter/final_test.go
@@ -0,0 +1,53 @@
+package promoter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/encoder"
+)
+
+// Guards against a revert to a version whose servers have ended: no server would be left for any request.
+func TestFinalRolloutIsNotRevertedAfterItIsDone(t *testing.T) {
+	require.False(t, revertsAfterDone(true))
+	require.True(t, revertsAfterDone(false), "the same evidence reverts a rollout that can go back")
+}
+
+// revertsAfterDone plays twenty seconds in which the trial went well and then all calls of the new version fail.
+func revertsAfterDone(final bool) bool {
+	c := NewCore()
+	now := time.UnixMilli(1_000_000)
+	r := sycamorevane.Rollout{
+		ID: "r", Service: "s", From: "v1", To: "v2", Phase: sycamorevane.RolloutMoving, Share: 0.5, Final: final, Changed: now.UnixMilli(),
+		Started: now.UnixMilli(), Deadline: now.Add(16 * time.Second).UnixMilli(),
+	}
+	versions := Capacity{Old: VersionCapacity{Servers: 20, Slots: 80, Warm: 20}, New: VersionCapacity{Servers: 20, Slots: 80, Warm: 20}}
+	for second := range uint64(20) {
+		kind := sycamorevane.OutcomeOK
+		if second >= 8 {
+			r.Phase, r.Share = sycamorevane.RolloutDone, 1
+			kind = sycamorevane.OutcomeFailed
+		}
+		fresh, old := make([]uint32, kinds), make([]uint32, kinds)
+		fresh[kind] = 200
+		cells := []*encoder.EvidenceCell{{To: true, Route: "a", Counts: fresh}}
+		if second < 8 {
+			old[sycamorevane.OutcomeOK] = 200
+			cells = append(cells, &encoder.EvidenceCell{Route: "a", Counts: old})
+		}
+		c.Add("e", &encoder.Evidence{Boot: 1, Windows: []*encoder.EvidenceWindow{{
+			Sequence: second + 1, Moves: []*encoder.EvidenceMove{{Service: "s", Rollout: "r", Cells: cells}},
+		}}})
+		steps := c.Step(Input{
+			Now: now, Rollouts: map[string]sycamorevane.Rollout{"s": r}, Capacity: map[string]Capacity{"s": versions},
+		})
+		if steps["s"].Phase == sycamorevane.RolloutReverting {
+			return true
+		}
+		now = now.Add(time.Second)
+	}
+	return false
+}
--- a/types.go
+++ b/types.go
@@ -248,6 +248,9 @@
 	Queue int
 	// Retry is the share of first attempts that may be retried or hedged, 0 to 1.
 	Retry float64
+	// Hedge is the share of requests that may be sent to a second server while the first has not answered; 0 for half
+	// of Retry.
+	Hedge float64 `json:",omitempty"`
 	// Probe is the share of a server's slot time that measuring may take, 0 to 1.
 	Probe float64
 	// Ceiling is the largest share of calls for a version that has not shown itself good, 0 to 1.
@@ -413,6 +416,9 @@
 	Deadline int64
 	Changed  int64
 	By       string
+	// Final is set when the old servers end as soon as the new version has taken over, so that nothing is left to go
+	// back to.
+	Final bool `json:",omitempty"`
 }
 
 // State is the committed state that control pushes to entries.
