--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -32,9 +32,14 @@
 	byID   map[string]*pool
 	closed bool
 	timer  *time.Timer
+	// dialTime bounds the making of a connection.
+	dialTime time.Duration
 }
 
-func (ps *pools) init() { ps.byID = make(map[string]*pool) }
+func (ps *pools) init(dialTime time.Duration) {
+	ps.byID = make(map[string]*pool)
+	ps.dialTime = dialTime
+}
 
 // get returns the pool of the server with its present cap.
 func (ps *pools) get(s *sycamorevane.Server, entries int, now time.Time) *pool {
@@ -42,7 +47,7 @@
 	defer ps.mu.Unlock()
 	p, ok := ps.byID[s.ID]
 	if !ok {
-		p = &pool{id: s.ID, addr: s.Addr}
+		p = &pool{id: s.ID, addr: s.Addr, dialTime: ps.dialTime}
 		ps.byID[s.ID] = p
 		ps.dropRestarted(p)
 		if ps.timer == nil && !ps.closed {
@@ -102,6 +107,8 @@
 type pool struct {
 	id   string
 	addr string
+	// dialTime bounds the making of a connection.
+	dialTime time.Duration
 
 	mu    sync.Mutex
 	limit int
@@ -200,7 +207,7 @@
 }
 
 func (p *pool) dial(ctx context.Context, deadline time.Time) (*serverConn, error) {
-	d := net.Dialer{Timeout: min(dialTimeout, time.Until(deadline)), Control: control}
+	d := net.Dialer{Timeout: min(p.dialTime, time.Until(deadline)), Control: control}
 	c, err := d.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
 		p.gone()
@@ -220,6 +227,7 @@
 // put takes a connection back after an exchange that ended well.
 func (p *pool) put(c *serverConn, now time.Time) {
 	c.answered = now
+	_ = c.SetDeadline(time.Time{}) // A deadline that passes while it is idle would make it look closed.
 	p.mu.Lock()
 	if p.closed || p.open > p.limit {
 		p.mu.Unlock()
