Name few entries to callers, keep servers below their knee, ask servers for their load

Change: the directory names a quarter of the entries of a data centre, at least two. A server gets at most 80% of its slots. Servers of the own data centre are asked for their load when it has not been told for 120 ms. A request waits for a server at most 0.3 of the time to its aim. Connections to servers have 250 ms.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -50,6 +50,8 @@
 	servers []*server
 	// usual is the smoothed latency of good answers by route.
 	usual map[string]time.Duration
+	// asked is when the last request for the service came.
+	asked time.Time
 }
 
 func newCore(dc string, bounds Bounds, r *rand.Rand) *core {
@@ -115,6 +117,7 @@
 	if p == nil {
 		return choice{}
 	}
+	p.asked = v.now
 	version, trial := c.version(v, ask)
 	got := c.best(v, ask, p, version)
 	if got.server == nil && trial {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -23,6 +23,9 @@
 	maxQueue = 256
 	// retryQueue is how often waiting requests look again for a server whose estimated load has faded.
 	retryQueue = 10 * time.Millisecond
+	// queueShare is the part of the time to its aim that a request waits for a server. A longer queue only makes all
+	// of it late: the caller is told at once when to come back.
+	queueShare = 0.3
 	// retryNone is when a caller should come back while no server is known.
 	retryNone = 500 * time.Millisecond
 )
@@ -149,7 +152,7 @@
 	}
 	if reason != "" {
 		d.mu.Unlock()
-		return sycamorevane.Grant{}, d.refuse(&ask, reason, max(usual, retryNone))
+		return sycamorevane.Grant{}, d.refuse(&ask, reason, d.comeBack(usual))
 	}
 	w := &waiter{ask: &ask, got: make(chan sycamorevane.Grant, 1)}
 	d.enqueue(w)
@@ -170,6 +173,12 @@
 // wait returns when a server has room, or when an answer could not come in time any more.
 func (d *Dispatcher) wait(ctx context.Context, w *waiter, usual time.Duration) (sycamorevane.Grant, error) {
 	last := w.ask.Deadline.Add(-usual / 2)
+	if !w.ask.Aim.IsZero() {
+		now := time.Now()
+		if until := now.Add(time.Duration(queueShare * float64(max(0, w.ask.Aim.Sub(now))))); until.Before(last) {
+			last = until
+		}
+	}
 	t := time.NewTicker(retryQueue)
 	defer t.Stop()
 	for {
@@ -180,7 +189,7 @@
 			return d.leave(w, ctx.Err())
 		case now := <-t.C:
 			if now.After(last) {
-				return d.leave(w, d.refuse(w.ask, "no server became free in time", max(usual, retryNone)))
+				return d.leave(w, d.refuse(w.ask, "no server became free in time", d.comeBack(usual)))
 			}
 			d.mu.Lock()
 			d.serve(time.Now(), w.ask.Service)
@@ -228,13 +237,18 @@
 }
 
 func (d *Dispatcher) grant(v *view, got choice) sycamorevane.Grant {
-	srv := got.server.entry.Server
-	if svc := v.state.Config.Service(srv.Service); svc != nil && svc.Conns > 0 {
-		srv.Conns = svc.Conns
-	}
+	srv := withConns(got.server.entry.Server, v.state.Config.Service(got.server.entry.Server.Service))
 	return sycamorevane.Grant{ID: d.core.start(v.now, got.server), Server: srv, Trial: got.trial}
 }
 
+// withConns adds the bound of its connections, which servers of some deployments do not announce.
+func withConns(s sycamorevane.Server, svc *sycamorevane.Service) sycamorevane.Server {
+	if svc != nil && svc.Conns > 0 {
+		s.Conns = svc.Conns
+	}
+	return s
+}
+
 // Release implements sycamorevane.Limiter.
 func (d *Dispatcher) Release(g sycamorevane.Grant, o sycamorevane.Outcome) {
 	now := time.Now()
@@ -249,6 +263,11 @@
 	d.cfg.Log.V(1).Info("server paused", "server", g.Server.ID, "service", g.Server.Service, "outcome", o.Kind.String())
 }
 
+// comeBack spreads the return of refused requests around the time after which as much room is free again.
+func (d *Dispatcher) comeBack(usual time.Duration) time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(usual))
+}
+
 func (d *Dispatcher) refuse(ask *sycamorevane.Ask, reason string, after time.Duration) *sycamorevane.RefusedError {
 	d.refused.Inc(1)
 	return &sycamorevane.RefusedError{Service: ask.Service, Firm: ask.Firm, Reason: reason, After: after}
--- /dev/null
+++ b/dispatcher/probe.go
@@ -0,0 +1,92 @@
+package dispatcher
+
+import (
+	"time"
+
+	"sycamorevane.example/sycamorevane"
+)
+
+const (
+	// probeAge is how old what is known of a server's load may be before the server is asked: its pace changes several
+	// times a second, and a probe costs far less than a request on a slow machine.
+	probeAge = 120 * time.Millisecond
+	// probeTime is how long a service is watched after its last request on this entry.
+	probeTime = time.Second
+	// probeMisses is how many probes in a row without an answer pause a server.
+	probeMisses = 2
+)
+
+// Probe is a server whose load should be asked for.
+type Probe struct {
+	Server sycamorevane.Server
+	// Path is where the server says how it is.
+	Path string
+}
+
+// ProbeResult is what a probe brought.
+type ProbeResult struct {
+	// Answered is false when the server gave no answer in time.
+	Answered bool
+	Load     *sycamorevane.Load
+	// Cold is how long the server stays cold; negative when it did not say.
+	Cold time.Duration
+	// Stale is set when another server has the address now.
+	Stale bool
+}
+
+// Probes lists the servers of the own data centre that should be asked now. Only an entry that has requests for their
+// service asks.
+func (d *Dispatcher) Probes(now time.Time) []Probe {
+	st := d.cfg.State()
+	if st == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v := d.view(now)
+	var list []Probe
+	for service, p := range d.core.pools {
+		svc := st.Config.Service(service)
+		if svc == nil || svc.Health == "" || now.Sub(p.asked) > probeTime {
+			continue
+		}
+		for _, s := range p.servers {
+			if s.entry.Server.DC != d.core.dc || s.probing || !usable(v, s, "", nil) {
+				continue
+			}
+			if now.Sub(s.loadAt) < probeAge || now.Sub(s.probed) < probeAge {
+				continue
+			}
+			s.probed, s.probing = now, true
+			list = append(list, Probe{Server: withConns(s.entry.Server, svc), Path: svc.Health})
+		}
+	}
+	return list
+}
+
+// Probed takes the result of a probe.
+func (d *Dispatcher) Probed(now time.Time, id string, r ProbeResult) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.core.byID[id]
+	if s == nil {
+		return
+	}
+	s.probing = false
+	s.stale = s.stale || r.Stale
+	if !r.Answered {
+		s.missed++
+		if s.missed >= probeMisses {
+			s.missed = 0
+			s.pause(now, brokenPause)
+		}
+		return
+	}
+	s.missed = 0
+	if r.Load != nil {
+		s.report(now, r.Load)
+	}
+	if r.Cold >= 0 {
+		s.entry.ColdUntil = now.Add(r.Cold)
+	}
+}
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -15,14 +15,14 @@
 	// memory is the time in which past latency and failures lose most of their worth, so that a server that was slow
 	// or failed gets requests again.
 	memory = 5 * time.Second
-	// kneeShare is the part of a server's slots above which work slows down, kneeCost by how much.
+	// kneeShare is the part of a server's slots that is used. Above it all work on the server slows down by more than
+	// the further slots add.
 	kneeShare = 0.8
-	kneeCost  = 1.7
 	// distantCost makes a server of the own data centre win unless it is clearly slower: traffic between data centres
 	// costs time and money.
 	distantCost = 1.25
-	// busyCost is the cost of a full server beside an idle one, below the knee.
-	busyCost = 0.15
+	// busyCost is the cost of a full server beside an idle one.
+	busyCost = 0.25
 	// coldCost is how much slower a cold server is taken to be.
 	coldCost = 2.0
 	// failureCost weighs the share of failed answers.
@@ -60,6 +60,10 @@
 	// stale is set when another server has the address.
 	stale bool
 	cold  bucket
+	// probed is when the server was last asked for its load; missed counts the probes without an answer in a row.
+	probed  time.Time
+	missed  int
+	probing bool
 }
 
 func newServer(e cataloger.Entry) *server {
@@ -76,9 +80,12 @@
 
 func (s *server) slots() float64 { return float64(max(1, s.entry.Server.Slots)) }
 
-// free reports whether one more request would find a slot.
+// room is how many requests the server should run at once.
+func (s *server) room() float64 { return max(1, math.Floor(kneeShare*s.slots())) }
+
+// free reports whether the server has room for one more request.
 func (s *server) free(now time.Time, usual time.Duration) bool {
-	return s.occupied(now, usual)+0.5 < s.slots()
+	return s.occupied(now, usual)+0.5 < s.room()
 }
 
 // cost is the expected time of a request on the server relative to the usual one.
@@ -87,11 +94,7 @@
 	cost := 1 + (s.ratio-1)*worth
 	cost *= 1 + failureCost*s.failing*worth
 	cost *= 1 + (s.pace-1)*fade(now.Sub(s.loadAt), paceLife)
-	used := (s.occupied(now, usual) + 1) / s.slots()
-	cost *= 1 + busyCost*used
-	if used > kneeShare {
-		cost *= kneeCost
-	}
+	cost *= 1 + busyCost*s.occupied(now, usual)/s.room()
 	if s.entry.Server.DC != dc {
 		cost *= distantCost
 	}
@@ -115,12 +118,7 @@
 // observe takes the end of a request into account. It returns true when the server was paused by it.
 func (s *server) observe(now time.Time, usual time.Duration, o sycamorevane.Outcome) bool {
 	if o.Load != nil {
-		s.others = max(0, float64(o.Load.Running+o.Load.Waiting-len(s.started)))
-		s.loadAt = now
-		s.pace = 1
-		if o.Load.Pace > 0 {
-			s.pace = o.Load.Pace
-		}
+		s.report(now, o.Load)
 	}
 	s.stale = s.stale || o.Stale
 	worth := fade(now.Sub(s.seen), memory)
@@ -159,6 +157,16 @@
 	return false
 }
 
+// report takes what the server says of its load.
+func (s *server) report(now time.Time, l *sycamorevane.Load) {
+	s.others = max(0, float64(l.Running+l.Waiting-len(s.started)))
+	s.loadAt = now
+	s.pace = 1
+	if l.Pace > 0 {
+		s.pace = l.Pace
+	}
+}
+
 func (s *server) slower(usual, latency time.Duration) {
 	if usual <= 0 {
 		return
--- a/forwarder/budget.go
+++ b/forwarder/budget.go
@@ -53,16 +53,28 @@
 type quantile struct {
 	mu    sync.Mutex
 	value float64
+	// hedged is the share of answers that arrive after a hedge is sent; 0 for 1 - hedgeQuantile.
+	hedged float64
 }
 
 func (q *quantile) add(d time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	hedged := q.hedged
+	if hedged == 0 {
+		hedged = 1 - hedgeQuantile
+	}
 	if d.Seconds() > q.value {
-		q.value += q.value * quantileStep * hedgeQuantile
+		q.value += q.value * quantileStep * (1 - hedged)
 		return
 	}
-	q.value -= q.value * quantileStep * (1 - hedgeQuantile)
+	q.value -= q.value * quantileStep * hedged
+}
+
+func (q *quantile) setHedged(share float64) {
+	q.mu.Lock()
+	q.hedged = share
+	q.mu.Unlock()
 }
 
 // hedgeAfter is how long an attempt may stay without an answer before it is hedged.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -182,6 +182,7 @@
 		return &statusError{http.StatusNotFound, "no service has this host or path"}
 	}
 	c.kept = c.f.service(c.svc.Name)
+	c.kept.delay.setHedged(c.svc.Hedge)
 	firm, credential, ok := c.index.firm(c.r.Header, c.f.d.Firm)
 	if !ok {
 		return &statusError{http.StatusForbidden, "firm is unknown or needs its credential"}
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -46,6 +46,10 @@
 	Marks bool
 	// Fractions lets Retry-After have fractions of a second.
 	Fractions bool
+	// Instance names a server in its answer to a probe, Cold the milliseconds that it stays cold; empty when servers do
+	// not say.
+	Instance string
+	Cold     string
 	// Load reads what a server says of its load; nil when servers say nothing.
 	Load func(http.Header) *sycamorevane.Load
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -64,6 +64,8 @@
 	Dialect Dialect
 	// Leaving reports that the entry is shutting down, so that callers are asked to use another connection; nil for never.
 	Leaving func() bool
+	// Dial bounds the making of a connection to a server; 0 for 1 s.
+	Dial time.Duration
 	// Grace is how long after its deadline a server's own answer is awaited; a server that stops at the deadline says so.
 	Grace time.Duration
 	// Peers is the number of entries that share the connections of a server; nil for the configured entries.
@@ -112,6 +114,9 @@
 	if cfg.Leaving == nil {
 		cfg.Leaving = func() bool { return false }
 	}
+	if cfg.Dial == 0 {
+		cfg.Dial = dialTimeout
+	}
 	if cfg.RetryBurst == nil {
 		cfg.RetryBurst = func() float64 { return maxTokens }
 	}
@@ -129,7 +134,7 @@
 		truncated: m.Counter("truncated"), mismatched: m.Counter("mismatched"),
 	}
 	f.sampler = recorder.NewSampler(cfg.Log)
-	f.pools.init()
+	f.pools.init(cfg.Dial)
 	return f
 }
 
--- a/resolver/directory.go
+++ b/resolver/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -12,10 +13,33 @@
 	"sycamorevane.example/sycamorevane/encoder"
 )
 
+// activePart of the entries of a data centre are named to callers. Each then sees enough of the traffic to know the
+// load of the servers from their answers; the others stand ready and take over when one is lost.
+const activePart = 0.25
+
 // minChoices is how many addresses an answer has at least, as long as there are so many: a caller that finds one of
 // them dead needs another one at once.
 const minChoices = 2
 
+// active lists the entries that callers are sent to: the first of each data centre by name, so that all control hosts
+// choose alike.
+func active(names []string, places map[string]place) []string {
+	total := make(map[string]int)
+	for _, name := range names {
+		total[places[name].dc]++
+	}
+	taken := make(map[string]int)
+	var list []string
+	for _, name := range names {
+		dc := places[name].dc
+		if taken[dc] < max(minChoices, int(math.Ceil(activePart*float64(total[dc])))) {
+			taken[dc]++
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
 // DirectoryConfig holds what a Directory is built from.
 type DirectoryConfig struct {
 	Transport sycamorevane.Transport
@@ -89,10 +113,10 @@
 	return i, len(names)
 }
 
-// Names lists the entries that take requests, sorted.
+// Names lists the entries that callers are sent to, sorted.
 func (d *Directory) Names() []string {
-	names, _ := d.live(time.Now())
-	return names
+	names, places := d.live(time.Now())
+	return active(names, places)
 }
 
 // Addresses returns where callers in the data centre should connect: to the entries there, and to others only when
@@ -100,7 +124,7 @@
 func (d *Directory) Addresses(dc string) []string {
 	names, places := d.live(time.Now())
 	var near, far []string
-	for _, name := range names {
+	for _, name := range active(names, places) {
 		if p := places[name]; p.dc == dc {
 			near = append(near, p.addr)
 		} else {
@@ -110,6 +134,6 @@
 	if len(near) < minChoices {
 		near = append(near, far...)
 	}
-	slices.SortStableFunc(near, cmp.Compare[string])
+	slices.SortFunc(near, cmp.Compare[string])
 	return near[:min(len(near), d.cfg.Max)]
 }
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"sycamorevane.example/sycamorevane/encoder"
 	"sycamorevane.example/sycamorevane/forwarder"
 	"sycamorevane.example/sycamorevane/promoter"
+	"sycamorevane.example/sycamorevane/recorder"
 	"sycamorevane.example/sycamorevane/subscriber"
 )
 
@@ -27,6 +29,12 @@
 	// leaveShare is the part of the grace period in which a leaving entry still takes connections: callers keep the
 	// directory's answer for up to its time to live and find the entry closed afterwards.
 	leaveShare = 0.5
+	// openDial bounds the making of a connection to a server; a packet takes a few milliseconds, and another server is
+	// tried sooner than the first packet would be sent again.
+	openDial = 250 * time.Millisecond
+	// probeTick is how often the servers to probe are looked for, probeWait how long an answer may take.
+	probeTick = 30 * time.Millisecond
+	probeWait = 150 * time.Millisecond
 	// openCallers bounds the callers' connections, which share the descriptors of a small host with those to servers.
 	openCallers = 2500
 	// openHeader bounds a request header in bytes where the configuration has not said.
@@ -47,13 +55,14 @@
 	ready     net.Listener
 	server    *http.Server
 	status    *http.Server
+	sampler   *recorder.Sampler
 	rank      atomic.Int64
 	entries   atomic.Int64
 	leaving   atomic.Bool
 }
 
 func newOpenEntry(o *Open) (*openEntry, error) {
-	e := &openEntry{o: o, collector: promoter.NewCollector(processClock)}
+	e := &openEntry{o: o, collector: promoter.NewCollector(processClock), sampler: recorder.NewSampler(o.cfg.Log)}
 	e.sub = subscriber.New(subscriber.Config{
 		Transport: o.mesh, Controls: o.contacts, Alone: true, Changed: e.changed, Pushed: e.pushed, Log: o.cfg.Log,
 	})
@@ -68,7 +77,7 @@
 	})
 	e.fwd = forwarder.New(forwarder.Config{
 		Self: o.cfg.Settings.Name, Limiter: e.place, State: e.sub.State, Dialect: o.cfg.Adapter.Dialect(),
-		Observe: e.collector.Observe, Grace: answerGrace, Leaving: e.leaving.Load,
+		Observe: e.collector.Observe, Grace: answerGrace, Leaving: e.leaving.Load, Dial: openDial,
 		Peers:      func() int { return int(max(1, e.entries.Load())) },
 		RetryBurst: e.retryBurst, Log: o.cfg.Log, Metrics: o.metrics,
 	})
@@ -109,6 +118,7 @@
 	e.sub.Start()
 	e.reporter.Start()
 	e.o.wg.Go(e.presenceLoop)
+	e.o.wg.Go(e.probeLoop)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", e.o.metrics)
 	mux.Handle("/", e.o.cfg.Adapter.Ready(e.accepting))
@@ -141,6 +151,42 @@
 	}
 }
 
+// probeLoop asks servers for their load where requests have not told it lately.
+func (e *openEntry) probeLoop() {
+	t := time.NewTicker(probeTick)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			for _, p := range e.place.Probes(now) {
+				go e.probe(p)
+			}
+		case <-e.o.ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *openEntry) probe(p dispatcher.Probe) {
+	ctx, cancel := context.WithTimeout(e.o.ctx, probeWait)
+	defer cancel()
+	_, header, err := e.fwd.Ask(ctx, p.Server, p.Path)
+	if err != nil {
+		e.sampler.Info(time.Now(), "probe failed", "server", p.Server.ID, "reason", err.Error())
+		e.place.Probed(time.Now(), p.Server.ID, dispatcher.ProbeResult{})
+		return
+	}
+	d := e.o.cfg.Adapter.Dialect()
+	r := dispatcher.ProbeResult{Answered: true, Load: d.Load(header), Cold: -1}
+	if name := header.Get(d.Instance); name != "" && name != p.Server.Label {
+		r.Stale, r.Load = true, nil
+	}
+	if ms, err := strconv.Atoi(header.Get(d.Cold)); err == nil && ms >= 0 {
+		r.Cold = time.Duration(ms) * time.Millisecond
+	}
+	e.place.Probed(time.Now(), p.Server.ID, r)
+}
+
 func (e *openEntry) announce() {
 	s := e.o.cfg.Settings
 	m := &encoder.Presence{
