Serve requests that can meet their aim first, and expect other entries' load to go on

Change: how long a caller has waited follows from the time it names; requests that can meet their aim are placed before the others. The estimate of other entries' load returns to its usual level. A request waits 0.15 of its remaining time.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -23,9 +23,13 @@
 	maxQueue = 256
 	// retryQueue is how often waiting requests look again for a server whose estimated load has faded.
 	retryQueue = 10 * time.Millisecond
-	// queueShare is the part of the time to its aim that a request waits for a server. A longer queue only makes all
-	// of it late: the caller is told at once when to come back.
-	queueShare = 0.3
+	// queueShare is the part of its remaining time that a request waits for a server before its caller is told when to
+	// come back. A longer wait only holds callers who will be refused.
+	queueShare = 0.15
+	// feasibleShare of the usual latency must be left to its aim for a request to count as able to meet it.
+	feasibleShare = 0.6
+	// returnShare of its remaining time is after when a request that is late anyway should come back.
+	returnShare = 0.3
 	// retryNone is when a caller should come back while no server is known.
 	retryNone = 500 * time.Millisecond
 )
@@ -152,14 +156,20 @@
 	}
 	if reason != "" {
 		d.mu.Unlock()
-		return sycamorevane.Grant{}, d.refuse(&ask, reason, d.comeBack(usual))
+		return sycamorevane.Grant{}, d.refuse(&ask, reason, d.comeBack(&ask, usual))
 	}
 	w := &waiter{ask: &ask, got: make(chan sycamorevane.Grant, 1)}
 	d.enqueue(w)
+	d.serve(now, ask.Service)
 	d.mu.Unlock()
 	return d.wait(ctx, w, usual)
 }
 
+// feasible reports whether the request can still be answered within its aim.
+func (w *waiter) feasible(now time.Time, usual time.Duration) bool {
+	return w.ask.Aim.IsZero() || w.ask.Aim.Sub(now) > time.Duration(feasibleShare*float64(usual))
+}
+
 // enqueue keeps the more urgent before the less urgent, and within a rank the order of arrival.
 func (d *Dispatcher) enqueue(w *waiter) {
 	list := d.queue[w.ask.Service]
@@ -173,9 +183,9 @@
 // wait returns when a server has room, or when an answer could not come in time any more.
 func (d *Dispatcher) wait(ctx context.Context, w *waiter, usual time.Duration) (sycamorevane.Grant, error) {
 	last := w.ask.Deadline.Add(-usual / 2)
-	if !w.ask.Aim.IsZero() {
-		now := time.Now()
-		if until := now.Add(time.Duration(queueShare * float64(max(0, w.ask.Aim.Sub(now))))); until.Before(last) {
+	if now := time.Now(); !w.ask.Aim.IsZero() {
+		patience := time.Duration(queueShare * float64(w.ask.Deadline.Sub(now)))
+		if until := now.Add(patience); until.Before(last) {
 			last = until
 		}
 	}
@@ -189,7 +199,7 @@
 			return d.leave(w, ctx.Err())
 		case now := <-t.C:
 			if now.After(last) {
-				return d.leave(w, d.refuse(w.ask, "no server became free in time", d.comeBack(usual)))
+				return d.leave(w, d.refuse(w.ask, "no server became free in time", d.comeBack(w.ask, usual)))
 			}
 			d.mu.Lock()
 			d.serve(time.Now(), w.ask.Service)
@@ -222,13 +232,27 @@
 	if v.state == nil {
 		return
 	}
+	d.serveSome(v, service, true)
+	d.serveSome(v, service, false)
+}
+
+// serveSome gives room to the requests that can still meet their aim, or to the others. A late answer is worth little,
+// so that it must not take the place of one that can be in time.
+func (d *Dispatcher) serveSome(v *view, service string, feasible bool) {
+	p := d.core.pool(service)
 	list := d.queue[service]
 	left := list[:0]
-	for i, w := range list {
+	full := false
+	for _, w := range list {
+		if full || w.feasible(v.now, p.usualOf(w.ask.Route)) != feasible {
+			left = append(left, w)
+			continue
+		}
 		got := d.core.pick(v, w.ask)
 		if got.server == nil {
-			left = append(left, list[i:]...)
-			break
+			full = true
+			left = append(left, w)
+			continue
 		}
 		w.got <- d.grant(v, got)
 	}
@@ -263,9 +287,11 @@
 	d.cfg.Log.V(1).Info("server paused", "server", g.Server.ID, "service", g.Server.Service, "outcome", o.Kind.String())
 }
 
-// comeBack spreads the return of refused requests around the time after which as much room is free again.
-func (d *Dispatcher) comeBack(usual time.Duration) time.Duration {
-	return time.Duration((0.5 + rand.Float64()) * float64(usual))
+// comeBack spreads the return of refused requests. One that will be late in any case gives way to others until later,
+// as far as its deadline allows.
+func (d *Dispatcher) comeBack(ask *sycamorevane.Ask, usual time.Duration) time.Duration {
+	left := time.Duration(returnShare * float64(max(0, time.Until(ask.Deadline))))
+	return time.Duration((0.7 + 0.6*rand.Float64()) * float64(max(usual, left)))
 }
 
 func (d *Dispatcher) refuse(ask *sycamorevane.Ask, reason string, after time.Duration) *sycamorevane.RefusedError {
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -29,7 +29,8 @@
 	failureCost = 6.0
 	// overdue is how many times the usual latency a running request may take before its server counts as stuck.
 	overdue = 2.5
-	// latencyWeight and failureWeight are the weights of one observation.
+	// latencyWeight, failureWeight and othersWeight are the weights of one observation.
+	othersWeight  = 0.2
 	latencyWeight = 0.3
 	failureWeight = 0.25
 	// refusedPause, shedPause and brokenPause are the first pauses of a server after a failed connection, its own
@@ -49,8 +50,10 @@
 	started map[uint64]time.Time
 	// others is how many requests of other entries the server had at its last answer, at loadAt.
 	others float64
-	pace   float64
-	loadAt time.Time
+	// usually is the smoothed number of requests of other entries.
+	usually float64
+	pace    float64
+	loadAt  time.Time
 	// ratio is the smoothed latency relative to the usual one of the same route; 1 at the beginning.
 	ratio     float64
 	failing   float64
@@ -73,9 +76,12 @@
 // fade returns how much an observation is still worth after age.
 func fade(age, life time.Duration) float64 { return math.Exp(-float64(max(0, age)) / float64(life)) }
 
-// occupied estimates the requests on the server. What other entries had there ends within the usual latency.
+// occupied estimates the requests on the server. What other entries had there at its last answer ends within the usual
+// latency, and is followed by as much as they usually have there.
 func (s *server) occupied(now time.Time, usual time.Duration) float64 {
-	return float64(len(s.started)) + s.others*fade(now.Sub(s.loadAt), max(usual, 50*time.Millisecond))
+	age := now.Sub(s.loadAt)
+	others := s.usually + (s.others-s.usually)*fade(age, max(usual, 50*time.Millisecond))
+	return float64(len(s.started)) + others*fade(age, memory)
 }
 
 func (s *server) slots() float64 { return float64(max(1, s.entry.Server.Slots)) }
@@ -160,6 +166,7 @@
 // report takes what the server says of its load.
 func (s *server) report(now time.Time, l *sycamorevane.Load) {
 	s.others = max(0, float64(l.Running+l.Waiting-len(s.started)))
+	s.usually += othersWeight * (s.others - s.usually)
 	s.loadAt = now
 	s.pace = 1
 	if l.Pace > 0 {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -143,7 +143,9 @@
 	}
 	if c.rule != nil {
 		ask.Priority = c.rule.Priority
-		ask.Aim = c.began.Add(c.rule.Aim)
+		if c.rule.Aim > 0 {
+			ask.Aim = c.began.Add(c.rule.Aim - c.waited)
+		}
 	}
 	grant, err := c.acquire(ctx, ask, hedge)
 	if err != nil {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -57,6 +57,8 @@
 	open     *attempt
 	timeout  time.Duration
 	progress time.Duration
+	// waited is how long the caller has been waiting since its first attempt, as far as known.
+	waited time.Duration
 	// deadline is the time the caller named; zero when it named none, since a slow upload may then take longer
 	// than the service's timeout.
 	deadline time.Time
@@ -235,6 +237,9 @@
 	if ms <= 0 {
 		return c.refused("deadline has passed", retryAfter)
 	}
+	if c.rule != nil {
+		c.waited = c.index.turns[c.rule].elapsed(c.began, time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond)
+	}
 	wanted := c.began.Add(min(maxTimeout, time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond))
 	if c.deadline.IsZero() || wanted.Before(c.deadline) {
 		c.deadline = wanted
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -184,6 +184,23 @@
 type turn struct {
 	mu     sync.Mutex
 	credit map[string]float64
+	// longest is the longest time that callers of the rule have named, at seen.
+	longest time.Duration
+	seen    time.Time
+}
+
+// longestLife is how long the longest time that callers have named counts.
+const longestLife = 10 * time.Second
+
+// elapsed estimates how long the caller of a request has been waiting: callers of a rule allow the same time, and one
+// that tries again names what is left.
+func (t *turn) elapsed(now time.Time, left time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if left >= t.longest || now.Sub(t.seen) > longestLife {
+		t.longest, t.seen = left, now
+	}
+	return t.longest - left
 }
 
 // next returns the service of the next request.
