Come back sooner after all processes were killed; wait for machines on which a request is in time

An election began 1 to 1.4 s after the start, a dial waited up to 2 s for a host that was off and paused up to 2 s, entries told a new control host of themselves once a second, and control hosts refused reports of servers until a leader was known.

Change: a host campaigns 0.3 s after its start; dials have 0.7 s and pause at most 0.5 s; an entry tells a new session at once; reports are taken in the first 3 s after the start. A request that can meet its aim waits for a server whose pace allows it.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +14,10 @@
 const (
 	// usualStart stands for the latency of a route that has not been seen yet.
 	usualStart = 200 * time.Millisecond
+	// baseQuantile is the part of the answers that are as fast as on a machine without other load, baseStep the relative
+	// change of its estimate per answer.
+	baseQuantile = 0.3
+	baseStep     = 0.1
 	// usualWeight is the weight of one answer in the usual latency of its route.
 	usualWeight = 0.1
 	// jitter spreads the choices of entries that know the same of the servers.
@@ -48,12 +53,27 @@
 // pool is the servers of one service.
 type pool struct {
 	servers []*server
-	// usual is the smoothed latency of good answers by route.
-	usual map[string]time.Duration
+	// times are the latencies of good answers by route.
+	times map[string]*times
 	// asked is when the last request for the service came.
 	asked time.Time
 }
 
+// times describe the latency of good answers.
+type times struct {
+	// usual is smoothed, base a low quantile: the time on a machine without other load.
+	usual, base time.Duration
+}
+
+func (t *times) add(latency time.Duration) {
+	t.usual += time.Duration(usualWeight * float64(latency-t.usual))
+	if latency > t.base {
+		t.base += time.Duration(baseStep * baseQuantile * float64(t.base))
+		return
+	}
+	t.base -= time.Duration(baseStep * (1 - baseQuantile) * float64(t.base))
+}
+
 func newCore(dc string, bounds Bounds, r *rand.Rand) *core {
 	return &core{dc: dc, bounds: bounds, rand: r, pools: make(map[string]*pool), byID: make(map[string]*server)}
 }
@@ -80,17 +100,19 @@
 func (c *core) pool(service string) *pool {
 	p, ok := c.pools[service]
 	if !ok {
-		p = &pool{usual: make(map[string]time.Duration)}
+		p = &pool{times: make(map[string]*times)}
 		c.pools[service] = p
 	}
 	return p
 }
 
-func (p *pool) usualOf(route string) time.Duration {
-	if d, ok := p.usual[route]; ok {
-		return d
+func (p *pool) timesOf(route string) *times {
+	t, ok := p.times[route]
+	if !ok {
+		t = &times{usual: usualStart, base: usualStart / 2}
+		p.times[route] = t
 	}
-	return usualStart
+	return t
 }
 
 // choice is the result of a pick. Without a server, full tells whether there are servers that have no room, and not
@@ -152,11 +174,17 @@
 }
 
 func (c *core) best(v *view, ask *sycamorevane.Ask, p *pool, version string) choice {
-	usual := p.usualOf(ask.Route)
+	t := p.timesOf(ask.Route)
+	usual := t.usual
+	left := ask.Aim.Sub(v.now)
+	hurried := feasible(v.now, ask, t)
 	var svc *sycamorevane.Service
 	if v.state != nil {
 		svc = v.state.Config.Service(ask.Service)
 	}
+	// A request that can be in time waits for a server on which it would be: on a slow machine it would be late and
+	// keep a slot several times as long.
+	timely := hurried && p.timely(v, ask, version, t.base, left)
 	var got choice
 	best := 0.0
 	bestCold := false
@@ -166,14 +194,14 @@
 		}
 		got.full = true
 		cold := isCold(v, s, svc)
-		if cold && !c.allowsCold(v, s, svc) || !s.free(v.now, usual) {
+		if cold && !c.allowsCold(v, s, svc) || !s.free(v.now, usual) || timely && s.expected(v.now, t.base) > left {
 			continue
 		}
 		cost := s.cost(v.now, usual, c.dc, cold) * (1 + jitter*c.rand.Float64())
 		if s.entry.Silent {
 			cost *= silentCost
 		}
-		if v.now.Before(s.pausedTil) {
+		if s.pausedAt(v.now) {
 			cost *= pausedCost
 		}
 		if got.server == nil || cost < best {
@@ -186,6 +214,18 @@
 	return got
 }
 
+// timely reports whether a server, free or not, would answer within the time that is left.
+func (p *pool) timely(v *view, ask *sycamorevane.Ask, version string, base, left time.Duration) bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool {
+		return !s.entry.Silent && !s.pausedAt(v.now) && s.expected(v.now, base) <= left && usable(v, s, version, ask.Avoid)
+	})
+}
+
+// feasible reports whether the request can still be answered within its aim.
+func feasible(now time.Time, ask *sycamorevane.Ask, t *times) bool {
+	return !ask.Aim.IsZero() && ask.Aim.Sub(now) > t.base
+}
+
 // usable reports whether the server may get the request at all.
 func usable(v *view, s *server, version string, avoid []string) bool {
 	e := &s.entry
@@ -257,9 +297,10 @@
 // finish ends a request. It returns the server, nil when it has left the catalog, and whether it was paused.
 func (c *core) finish(now time.Time, service, id string, grant uint64, o sycamorevane.Outcome) (*server, bool) {
 	p := c.pool(service)
-	usual := p.usualOf(o.Route)
+	t := p.timesOf(o.Route)
+	usual := t.usual
 	if o.Kind == sycamorevane.OutcomeOK {
-		p.usual[o.Route] = usual + time.Duration(usualWeight*float64(o.Latency-usual))
+		t.add(o.Latency)
 	}
 	s := c.byID[id]
 	if s == nil {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -26,8 +26,8 @@
 	// queueShare is the part of its remaining time that a request waits for a server before its caller is told when to
 	// come back. A longer wait only holds callers who will be refused.
 	queueShare = 0.15
-	// feasibleShare of the usual latency must be left to its aim for a request to count as able to meet it.
-	feasibleShare = 0.6
+	// explainEvery is the least time between two descriptions of full servers.
+	explainEvery = time.Second
 	// returnShare of its remaining time is after when a request that is late anyway should come back.
 	returnShare = 0.3
 	// retryNone is when a caller should come back while no server is known.
@@ -59,8 +59,10 @@
 	queue map[string][]*waiter
 	// returned is since when a data centre is back, known the DrainedDCs and Returned of the last state.
 	returned map[string]time.Time
-	paused   tally.Counter
-	refused  tally.Counter
+	// explained is when full servers were last described.
+	explained time.Time
+	paused    tally.Counter
+	refused   tally.Counter
 }
 
 // waiter is a request without a server.
@@ -143,8 +145,9 @@
 		d.mu.Unlock()
 		return g, nil
 	}
-	usual := d.core.pool(ask.Service).usualOf(ask.Route)
+	usual := d.core.pool(ask.Service).timesOf(ask.Route).usual
 	queued := len(d.queue[ask.Service])
+	d.explain(v, &ask)
 	reason := ""
 	switch {
 	case !got.full:
@@ -165,11 +168,6 @@
 	return d.wait(ctx, w, usual)
 }
 
-// feasible reports whether the request can still be answered within its aim.
-func (w *waiter) feasible(now time.Time, usual time.Duration) bool {
-	return w.ask.Aim.IsZero() || w.ask.Aim.Sub(now) > time.Duration(feasibleShare*float64(usual))
-}
-
 // enqueue keeps the more urgent before the less urgent, and within a rank the order of arrival.
 func (d *Dispatcher) enqueue(w *waiter) {
 	list := d.queue[w.ask.Service]
@@ -202,7 +200,9 @@
 				return d.leave(w, d.refuse(w.ask, "no server became free in time", d.comeBack(w.ask, usual)))
 			}
 			d.mu.Lock()
-			d.serve(time.Now(), w.ask.Service)
+			if list := d.queue[w.ask.Service]; len(list) > 0 && list[0] == w {
+				d.serve(now, w.ask.Service) // Once for the whole queue.
+			}
 			d.mu.Unlock()
 		}
 	}
@@ -238,13 +238,13 @@
 
 // serveSome gives room to the requests that can still meet their aim, or to the others. A late answer is worth little,
 // so that it must not take the place of one that can be in time.
-func (d *Dispatcher) serveSome(v *view, service string, feasible bool) {
+func (d *Dispatcher) serveSome(v *view, service string, inTime bool) {
 	p := d.core.pool(service)
 	list := d.queue[service]
 	left := list[:0]
 	full := false
 	for _, w := range list {
-		if full || w.feasible(v.now, p.usualOf(w.ask.Route)) != feasible {
+		if full || feasible(v.now, w.ask, p.timesOf(w.ask.Route)) != inTime {
 			left = append(left, w)
 			continue
 		}
@@ -294,6 +294,41 @@
 	return time.Duration((0.7 + 0.6*rand.Float64()) * float64(max(usual, left)))
 }
 
+// explain logs what the servers of a service look like while requests for it find no room.
+func (d *Dispatcher) explain(v *view, ask *sycamorevane.Ask) {
+	if v.now.Sub(d.explained) < explainEvery {
+		return
+	}
+	d.explained = v.now
+	p := d.core.pool(ask.Service)
+	svc := v.state.Config.Service(ask.Service)
+	t := p.timesOf(ask.Route)
+	var known, usableNow, cold, paused, slow, own int
+	room, occupied := 0.0, 0.0
+	for _, s := range p.servers {
+		known++
+		if !usable(v, s, "", nil) {
+			continue
+		}
+		usableNow++
+		room += s.room()
+		occupied += s.occupied(v.now, t.usual)
+		own += len(s.started)
+		if isCold(v, s, svc) {
+			cold++
+		}
+		if s.pausedAt(v.now) {
+			paused++
+		}
+		if s.expected(v.now, t.base) > 2*t.base {
+			slow++
+		}
+	}
+	d.cfg.Log.Info("no room for requests", "service", ask.Service, "route", ask.Route, "servers", known, "usable", usableNow,
+		"cold", cold, "paused", paused, "slow", slow, "room", room, "occupied", int(occupied), "own", own,
+		"queued", len(d.queue[ask.Service]), "usualms", t.usual.Milliseconds(), "basems", t.base.Milliseconds())
+}
+
 func (d *Dispatcher) refuse(ask *sycamorevane.Ask, reason string, after time.Duration) *sycamorevane.RefusedError {
 	d.refused.Inc(1)
 	return &sycamorevane.RefusedError{Service: ask.Service, Firm: ask.Firm, Reason: reason, After: after}
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -113,6 +113,14 @@
 	return cost
 }
 
+// expected is how long a request should take on the server, for one that takes base on a machine without other load.
+func (s *server) expected(now time.Time, base time.Duration) time.Duration {
+	pace := 1 + (s.pace-1)*fade(now.Sub(s.loadAt), paceLife)
+	return time.Duration(pace * float64(base))
+}
+
+func (s *server) pausedAt(now time.Time) bool { return now.Before(s.pausedTil) }
+
 func (s *server) oldest(now time.Time) time.Duration {
 	var age time.Duration
 	for _, at := range s.started {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -30,10 +30,11 @@
 	DeadAfter = 1500 * time.Millisecond
 	// closeAfter is the silence after which a session is closed and dialled anew, since a connection can go
 	// silent for good while new ones work.
-	closeAfter     = 2 * DeadAfter
-	dialTimeout    = 2 * time.Second
+	closeAfter = 2 * DeadAfter
+	// dialTimeout is short, since a host that is off does not answer at all and may be back at any moment.
+	dialTimeout    = 700 * time.Millisecond
 	dialBackoffMin = 50 * time.Millisecond
-	dialBackoffMax = 2 * time.Second
+	dialBackoffMax = 500 * time.Millisecond
 	maxCalls       = 512
 	// maxSessions bounds open connections, authenticated or not, at four times the largest configuration.
 	maxSessions = 4096
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -18,6 +18,9 @@
 	electionTicks = 20
 	// electionSpread is the random part added to electionTicks, so that voters rarely start together: 0.4 s.
 	electionSpread = 8
+	// bootTicks is the shortest silence after a start: 0.3 s, in which a leader that is there sends a heartbeat. A
+	// pre-vote does not disturb one that was missed.
+	bootTicks = 6
 	// leaseTicks is how long a replica that heard the leader refuses other candidates. It is two ticks shorter
 	// than electionTicks, since the clocks of two replicas tick out of phase.
 	leaseTicks = electionTicks - 2
@@ -205,6 +208,7 @@
 	}
 	c.recovering = d.Hard.Vote == recoveringVote
 	c.follow("")
+	c.elapsed = electionTicks - bootTicks
 	return c, nil
 }
 
--- a/runner/open_control.go
+++ b/runner/open_control.go
@@ -30,6 +30,8 @@
 	// removeAfter is the silence after which a control host is taken out of the group, so that it does not count for
 	// the majority any more; it joins again when it is back. It is longer than the disruptions that hosts survive.
 	removeAfter = 12 * time.Second
+	// bootTime is how long after the start a control host takes reports of servers without knowing a leader.
+	bootTime = 3 * time.Second
 	// minGroup is the smallest group that hosts are taken out of.
 	minGroup = 3
 	// directoryMax bounds the addresses in an answer of the directory.
@@ -51,10 +53,11 @@
 	lookup  net.Listener
 	servers []*http.Server
 	running atomic.Bool
+	started time.Time
 }
 
 func newOpenControl(o *Open) (*openControl, error) {
-	c := &openControl{o: o, machine: applier.New()}
+	c := &openControl{o: o, machine: applier.New(), started: time.Now()}
 	s := o.cfg.Settings
 	var err error
 	if c.store, err = persister.Open(persister.Config{Dir: s.Control.Data}); err != nil {
@@ -71,7 +74,7 @@
 	})
 	c.keeper = cataloger.NewKeeper(cataloger.KeeperConfig{
 		Transport: o.mesh, Controls: c.others, Entries: c.entries, Leads: c.leads,
-		Follows: func() bool { name, _, _ := c.repl.Leader(); return name != "" },
+		Follows: c.follows,
 		Left:    c.left, Commit: c.admin.Leave, Forgot: c.forgot, Interval: s.Bounds.Heartbeat, Log: o.cfg.Log,
 	})
 	c.pub = publisher.New(publisher.Config{
@@ -125,6 +128,13 @@
 	return err
 }
 
+// follows reports whether reports of servers reach a leader: the one that is known, or the one that is being elected
+// just after the start.
+func (c *openControl) follows() bool {
+	name, _, _ := c.repl.Leader()
+	return name != "" || time.Since(c.started) < bootTime
+}
+
 func (c *openControl) leads() (bool, uint64) {
 	_, self, term := c.repl.Leader()
 	return self, term
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -35,6 +35,8 @@
 	// probeTick is how often the servers to probe are looked for, probeWait how long an answer may take.
 	probeTick = 30 * time.Millisecond
 	probeWait = 150 * time.Millisecond
+	// presenceTick is how often the entry looks for a control host that does not know it yet.
+	presenceTick = 100 * time.Millisecond
 	// openCallers bounds the callers' connections, which share the descriptors of a small host with those to servers.
 	openCallers = 2500
 	// openHeader bounds a request header in bytes where the configuration has not said.
@@ -138,11 +140,27 @@
 // accepting reports whether callers may be sent here.
 func (e *openEntry) accepting() bool { return e.sub.Connected() && !e.leaving.Load() }
 
+// presenceLoop tells the control hosts every second, and one that has just come up at once, whether callers may be sent
+// here.
 func (e *openEntry) presenceLoop() {
-	t := time.NewTicker(presenceInterval)
+	t := time.NewTicker(presenceTick)
 	defer t.Stop()
+	told := make(map[string]uint64)
+	last := time.Time{}
+	accepting := false
 	for {
-		e.announce()
+		now := time.Now()
+		fresh := false
+		for _, p := range e.o.mesh.Peers() {
+			if p.Alive && p.Roles.Has(sycamorevane.RoleControl) && told[p.Name] != p.Boot {
+				told[p.Name] = p.Boot
+				fresh = true
+			}
+		}
+		if was := accepting; fresh || now.Sub(last) >= presenceInterval || was != e.accepting() {
+			accepting, last = e.accepting(), now
+			e.announce()
+		}
 		select {
 		case <-t.C:
 		case <-e.o.ctx.Done():
