End a rollout on plain failures; count load and capacity as the servers do

Cause: (1) an answer's load header counts the request that it answers (a lone request shows 1), so servers looked fuller by one request than they were. (3) Control did not know how many requests run on a version, so a version could take over that cannot carry them.

Change: the answered request is subtracted; twelve failures that are a tenth of the new version's answers, and three times the old rate, end a rollout; entries report the requests running on versions under rollout.

Test: TestPlainFailuresEndARolloutWhileOldServersAreFull.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -273,6 +273,17 @@
 	return s
 }
 
+// Running returns the requests running on the servers of each version of a service.
+func (d *Dispatcher) Running(service string) map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counts := make(map[string]int)
+	for _, s := range d.core.pool(service).servers {
+		counts[s.entry.Server.Version] += len(s.started)
+	}
+	return counts
+}
+
 // Release implements sycamorevane.Limiter.
 func (d *Dispatcher) Release(g sycamorevane.Grant, o sycamorevane.Outcome) {
 	now := time.Now()
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -132,7 +132,11 @@
 // observe takes the end of a request into account. It returns true when the server was paused by it.
 func (s *server) observe(now time.Time, usual time.Duration, o sycamorevane.Outcome) bool {
 	if o.Load != nil {
-		s.report(now, o.Load)
+		load := *o.Load
+		if o.Kind == sycamorevane.OutcomeOK || o.Kind == sycamorevane.OutcomeFailed {
+			load.Running-- // A server counts the request that it is answering.
+		}
+		s.report(now, &load)
 	}
 	s.stale = s.stale || o.Stale
 	worth := fade(now.Sub(s.seen), memory)
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -72,6 +72,12 @@
 	watchMax = 10 * time.Minute
 	// lateWaiting is the part of the allowed time after which a rollout that still waits for servers is late.
 	lateWaiting = 0.25
+	// plainErrors failures that are plainRate of the new version's answers, and plainRatio times the old version's rate,
+	// end a rollout without a test. By chance a good version with the same rate of 1% has 12 failures in 120 answers less
+	// than once in 10^8 rollouts.
+	plainErrors = 12
+	plainRate   = 0.1
+	plainRatio  = 3
 	// entryAge is how many decisions an entry's last report counts.
 	entryAge = 4
 	// fullLoad is the smallest share of the old version at which it is the baseline for full load.
@@ -194,6 +200,8 @@
 	// ok counts the new version's calls that were not shed, shed the others, both decayed.
 	ok, shed float64
 	answered bool
+	// answers and errors count complete answers and those that are failures, since the start, by side.
+	answers, errors [2]float64
 	// warming is how long the version had servers that were mostly cold.
 	warming time.Duration
 	isCold  bool
@@ -245,6 +253,7 @@
 	}
 	t.entries[from] = entry{blocked: m.GetBlocked()}
 	for _, l := range m.GetCells() {
+		t.countErrors(l)
 		g := t.window[l.GetRoute()]
 		if g == nil {
 			if len(t.window) >= maxRoutes+1 {
@@ -257,6 +266,33 @@
 	}
 }
 
+// countErrors counts what the servers themselves answered: not what a full or lost server left undone.
+func (t *track) countErrors(l *encoder.EvidenceCell) {
+	side := 0
+	if l.GetTo() {
+		side = 1
+	}
+	for k, n := range l.GetCounts() {
+		switch sycamorevane.OutcomeKind(k) {
+		case sycamorevane.OutcomeFailed:
+			t.errors[side] += float64(n)
+			t.answers[side] += float64(n)
+		case sycamorevane.OutcomeOK:
+			t.answers[side] += float64(n)
+		}
+	}
+}
+
+// plainlyBad reports whether the new version answers so many calls with failures that no test is needed. While servers
+// are full, timeouts on both sides blur the comparison of all outcomes.
+func (t *track) plainlyBad() bool {
+	if t.errors[1] < plainErrors || t.answers[1] == 0 {
+		return false
+	}
+	rate := t.errors[1] / t.answers[1]
+	return rate >= plainRate && rate*t.answers[0] >= plainRatio*t.errors[0]
+}
+
 func (t *tally) count(l *encoder.EvidenceCell) {
 	side := 0
 	if l.GetTo() {
@@ -334,6 +370,9 @@
 	if reason, bad := t.verdict(); bad {
 		return revert(s, reason)
 	}
+	if t.plainlyBad() {
+		return revert(s, "new version answers "+percent(t.errors[1]/t.answers[1])+" of its calls with failures")
+	}
 	if now.UnixMilli() >= r.Deadline {
 		return revert(s, "deadline passed at share "+percent(r.Share))
 	}
--- /dev/null
+++ b/promoter/plain_test.go
@@ -0,0 +1,48 @@
+package promoter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/encoder"
+)
+
+// Guards against a bad version that keeps its share because the servers of the old one are full: their timeouts must
+// not excuse the new version's own failures.
+func TestPlainFailuresEndARolloutWhileOldServersAreFull(t *testing.T) {
+	c := NewCore()
+	now := time.UnixMilli(1_000_000)
+	r := sycamorevane.Rollout{
+		ID: "r", Service: "s", From: "v1", To: "v2", Phase: sycamorevane.RolloutTrial, Share: 0.08,
+		Started: now.UnixMilli(), Deadline: now.Add(16 * time.Second).UnixMilli(), Changed: now.UnixMilli(),
+	}
+	versions := Capacity{Old: VersionCapacity{Servers: 20, Slots: 80, Warm: 20}, New: VersionCapacity{Servers: 20, Slots: 80, Warm: 20}}
+	step := func() Step {
+		s := c.Step(Input{
+			Now: now, Rollouts: map[string]sycamorevane.Rollout{"s": r}, Capacity: map[string]Capacity{"s": versions},
+		})["s"]
+		now = now.Add(time.Second)
+		return s
+	}
+	step()
+	bad := 0
+	for second := range uint64(10) {
+		old, fresh := make([]uint32, kinds), make([]uint32, kinds)
+		old[sycamorevane.OutcomeOK], old[sycamorevane.OutcomeTimeout] = 60, 60
+		fresh[sycamorevane.OutcomeOK], fresh[sycamorevane.OutcomeFailed] = 4, 6
+		bad += 6
+		c.Add("e", &encoder.Evidence{Boot: 1, Windows: []*encoder.EvidenceWindow{{
+			Sequence: second + 1,
+			Moves: []*encoder.EvidenceMove{{Service: "s", Rollout: "r", Cells: []*encoder.EvidenceCell{
+				{Route: "a", Counts: old}, {To: true, Route: "a", Counts: fresh},
+			}}},
+		}}})
+		if step().Phase == sycamorevane.RolloutReverting {
+			break
+		}
+	}
+	require.LessOrEqual(t, bad, plainErrors, "bad answers before the revert")
+}
--- a/resolver/directory.go
+++ b/resolver/directory.go
@@ -60,6 +60,7 @@
 	addr, dc  string
 	accepting bool
 	at        time.Time
+	loads     []*encoder.VersionLoad
 }
 
 // NewDirectory registers the message handler.
@@ -73,10 +74,25 @@
 	p, _ := m.(*encoder.Presence)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.entries[from] = place{addr: p.Addr, dc: p.Dc, accepting: p.Accepting && !p.Leaving, at: time.Now()}
+	d.entries[from] = place{addr: p.Addr, dc: p.Dc, accepting: p.Accepting && !p.Leaving, at: time.Now(), loads: p.Loads}
 	return nil
 }
 
+// Running is how many requests all entries have on the servers of a version, as they said last.
+func (d *Directory) Running(service, version string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, p := range d.entries {
+		for _, l := range p.loads {
+			if l.Service == service && l.Version == version {
+				n += int(l.Running)
+			}
+		}
+	}
+	return n
+}
+
 // live returns the entries that take requests, by name.
 func (d *Directory) live(now time.Time) ([]string, map[string]place) {
 	alive := sycamorevane.NewSet[string]()
--- a/runner/open_control.go
+++ b/runner/open_control.go
@@ -266,11 +266,11 @@
 		if !ok || e.Gone() || e.Silent {
 			continue
 		}
-		cap := list[e.Server.Service]
-		v := &cap.Old
+		known := list[e.Server.Service]
+		v := &known.Old
 		switch e.Server.Version {
 		case r.To:
-			v = &cap.New
+			v = &known.New
 		case r.From:
 		default:
 			continue
@@ -280,7 +280,12 @@
 		if !now.Before(e.ColdUntil) {
 			v.Warm++
 		}
-		list[e.Server.Service] = cap
+		list[e.Server.Service] = known
+	}
+	for service, known := range list {
+		known.Old.Busy = c.dir.Running(service, rollouts[service].From)
+		known.New.Busy = c.dir.Running(service, rollouts[service].To)
+		list[service] = known
 	}
 	return list
 }
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -210,6 +210,9 @@
 	m := &encoder.Presence{
 		Accepting: e.accepting(), Leaving: e.leaving.Load(), Addr: s.Entry.Caller, Dc: s.DC,
 	}
+	if st := e.sub.State(); st != nil {
+		m.Loads = e.loads(st)
+	}
 	for _, p := range e.o.mesh.Peers() {
 		if p.Alive && p.Roles.Has(sycamorevane.RoleControl) {
 			if err := e.o.mesh.Send(p.Name, m); err != nil {
@@ -219,6 +222,20 @@
 	}
 }
 
+// loads are the requests running on the versions of services under rollout.
+func (e *openEntry) loads(st *sycamorevane.State) []*encoder.VersionLoad {
+	var list []*encoder.VersionLoad
+	for service, r := range st.Rollouts {
+		if r.Phase.Final() {
+			continue
+		}
+		for version, n := range e.place.Running(service) {
+			list = append(list, &encoder.VersionLoad{Service: service, Version: version, Running: uint32(n)})
+		}
+	}
+	return list
+}
+
 // stop leaves the directory, serves while callers still use its former answers, and finishes running requests.
 func (e *openEntry) stop(ctx context.Context) {
 	e.leaving.Store(true)
