Wait for the first configuration and servers after a start; push to entries that come up

Cause: after the loss of all processes an entry had its configuration 0.6 s after its start and its catalog another 0.6 s later, with the next push; all requests until then were refused, which used up the callers' one retry. Servers of a data centre that had come back long before were taken for cold by a process that started after it.

Change: the leader pushes at once to an entry that comes up and after its election; requests wait up to 0.6 s for the first configuration, and for the first servers in the first 2 s; an old return is forgotten.

--- a/cataloger/keeper.go
+++ b/cataloger/keeper.go
@@ -156,6 +156,7 @@
 func (k *Keeper) Revision() (epoch, revision uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.enter(k.cfg.Leads())
 	return k.term, k.pushed
 }
 
@@ -229,9 +230,7 @@
 	if !leads {
 		return nil
 	}
-	if term != k.term {
-		k.term, k.pushed = term, k.catalog.Revision() // Entries ask for what is older.
-	}
+	k.enter(leads, term)
 	if k.pushed == k.catalog.Revision() {
 		return nil
 	}
@@ -242,6 +241,13 @@
 	return m
 }
 
+// enter begins a term of office. Entries ask for what is older. It is called with the lock held.
+func (k *Keeper) enter(leads bool, term uint64) {
+	if leads && term != k.term {
+		k.term, k.pushed = term, k.catalog.Revision()
+	}
+}
+
 func (k *Keeper) send(to string, m proto.Message) {
 	if err := k.cfg.Transport.Send(to, m); err != nil {
 		k.cfg.Log.V(1).Info("catalog message not sent", "peer", to, "reason", err.Error())
@@ -267,9 +273,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if term != k.term {
-		return nil // The first push of this term of office has not been made yet.
-	}
+	k.enter(leads, term)
 	return &encoder.CatalogPush{
 		Epoch: term, Revision: k.pushed, Full: true, Records: encode(k.catalog.Since(0, time.Now())),
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -26,6 +26,11 @@
 	// queueShare is the part of its remaining time that a request waits for a server before its caller is told when to
 	// come back. A longer wait only holds callers who will be refused.
 	queueShare = 0.15
+	// returnLife is how long after its return a data centre may have servers that are cold without having said so; the
+	// clocks of two hosts may differ by seconds.
+	returnLife = 8 * time.Second
+	// startTime is how long after its start an entry lets requests wait for servers that have not reported again yet.
+	startTime = 2 * time.Second
 	// explainEvery is the least time between two descriptions of full servers.
 	explainEvery = time.Second
 	// returnShare of its remaining time is after when a request that is late anyway should come back.
@@ -54,9 +59,11 @@
 type Dispatcher struct {
 	cfg Config
 
-	mu    sync.Mutex
-	core  *core
-	queue map[string][]*waiter
+	mu   sync.Mutex
+	core *core
+	// started is when this entry started.
+	started time.Time
+	queue   map[string][]*waiter
 	// returned is since when a data centre is back, known the DrainedDCs and Returned of the last state.
 	returned map[string]time.Time
 	// explained is when full servers were last described.
@@ -85,7 +92,7 @@
 	m := cfg.Metrics.SubScope("dispatcher")
 	return &Dispatcher{
 		cfg: cfg, core: newCore(cfg.DC, cfg.Bounds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		queue: make(map[string][]*waiter), returned: make(map[string]time.Time),
+		started: time.Now(), queue: make(map[string][]*waiter), returned: make(map[string]time.Time),
 		paused: m.Counter("paused"), refused: m.Counter("refused"),
 	}
 }
@@ -112,9 +119,13 @@
 			delete(d.returned, dc)
 		}
 	}
-	for dc := range st.Returned {
-		if _, noted := d.returned[dc]; !noted {
-			d.returned[dc] = now
+	for dc, at := range st.Returned {
+		if _, noted := d.returned[dc]; noted {
+			continue
+		}
+		d.returned[dc] = now
+		if now.Sub(time.UnixMilli(at)) > returnLife {
+			d.returned[dc] = time.Time{} // This process has started long after.
 		}
 	}
 }
@@ -150,7 +161,7 @@
 	d.explain(v, &ask)
 	reason := ""
 	switch {
-	case !got.full:
+	case !got.full && now.Sub(d.started) > startTime:
 		reason = "no server can take the request"
 	case queued >= maxQueue:
 		reason = "queue is full"
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -51,12 +51,14 @@
 
 func TestUnusableServersGetNothing(t *testing.T) {
 	cases := map[string]func(v *view, e *cataloger.Entry, a *sycamorevane.Ask){
-		"draining":              func(_ *view, e *cataloger.Entry, _ *sycamorevane.Ask) { e.Draining = true },
-		"left":                  func(_ *view, e *cataloger.Entry, _ *sycamorevane.Ask) { e.Left = true },
-		"leaving, as committed": func(v *view, _ *cataloger.Entry, _ *sycamorevane.Ask) { v.state.DrainedServers = map[string]int64{"x": 1} },
-		"data centre out":       func(v *view, _ *cataloger.Entry, _ *sycamorevane.Ask) { v.state.DrainedDCs = map[string]int64{"a": 1} },
-		"has failed it before":  func(_ *view, _ *cataloger.Entry, a *sycamorevane.Ask) { a.Avoid = []string{"x"} },
-		"version not serving":   func(v *view, _ *cataloger.Entry, _ *sycamorevane.Ask) { v.state.Serving = map[string]string{"s": "v9"} },
+		"draining": func(_ *view, e *cataloger.Entry, _ *sycamorevane.Ask) { e.Draining = true },
+		"left":     func(_ *view, e *cataloger.Entry, _ *sycamorevane.Ask) { e.Left = true },
+		"leaving, as committed": func(v *view, _ *cataloger.Entry, _ *sycamorevane.Ask) {
+			v.state.DrainedServers = map[string]int64{"x": 1}
+		},
+		"data centre out":      func(v *view, _ *cataloger.Entry, _ *sycamorevane.Ask) { v.state.DrainedDCs = map[string]int64{"a": 1} },
+		"has failed it before": func(_ *view, _ *cataloger.Entry, a *sycamorevane.Ask) { a.Avoid = []string{"x"} },
+		"version not serving":  func(v *view, _ *cataloger.Entry, _ *sycamorevane.Ask) { v.state.Serving = map[string]string{"s": "v9"} },
 	}
 	for name, change := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -235,10 +237,35 @@
 		State:   func() *sycamorevane.State { return st },
 		Share:   func() (int, int) { return 0, 1 },
 	})
+	d.started = d.started.Add(-time.Hour)
 	d.Update()
 	return d
 }
 
+// Guards against refusals for a start that everybody knows of: servers report again within a second or two.
+func TestRequestsWaitForServersAfterTheStart(t *testing.T) {
+	d := newTestDispatcher(newState())
+	d.started = time.Now()
+	live := entry("x", "a", "v1")
+	live.Heard = time.Now()
+	time.AfterFunc(50*time.Millisecond, func() {
+		d.cfg.Servers = func() []cataloger.Entry { return []cataloger.Entry{live} }
+		d.Update()
+	})
+	g, err := d.Acquire(context.Background(), sycamorevane.Ask{Service: "s", Deadline: time.Now().Add(2 * time.Second)})
+	require.NoError(t, err)
+	require.Equal(t, "x", g.Server.ID)
+}
+
+// Guards against an entry that takes servers for cold because their data centre came back long before its own start.
+func TestOldReturnIsForgotten(t *testing.T) {
+	st := newState()
+	st.Returned = map[string]int64{"a": time.Now().Add(-time.Minute).UnixMilli(), "b": time.Now().UnixMilli()}
+	d := newTestDispatcher(st)
+	require.True(t, d.returned["a"].IsZero())
+	require.False(t, d.returned["b"].IsZero())
+}
+
 func expectRefused(t *testing.T, err error) *sycamorevane.RefusedError {
 	t.Helper()
 	var refused *sycamorevane.RefusedError
@@ -273,7 +300,9 @@
 	t.Run("it waits for room", func(t *testing.T) {
 		d := newTestDispatcher(newState(), live)
 		grants := fill(t, d)
-		time.AfterFunc(30*time.Millisecond, func() { d.Release(grants[0], sycamorevane.Outcome{Kind: sycamorevane.OutcomeOK, Latency: time.Millisecond}) })
+		time.AfterFunc(30*time.Millisecond, func() {
+			d.Release(grants[0], sycamorevane.Outcome{Kind: sycamorevane.OutcomeOK, Latency: time.Millisecond})
+		})
 		_, err := d.Acquire(context.Background(), sycamorevane.Ask{Service: "s", Deadline: time.Now().Add(2 * time.Second)})
 		require.NoError(t, err)
 	})
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -21,6 +21,8 @@
 const (
 	defaultTimeout  = 10 * time.Second
 	defaultProgress = 10 * time.Second
+	// firstWait is how long a request waits for the first configuration of an entry that has just started.
+	firstWait = 600 * time.Millisecond
 	// retryAfter is named in refusals that know no better time.
 	retryAfter = time.Second
 	// maxTimeout bounds X-Timeout-Ms, so that its sum with the present time cannot overflow.
@@ -108,6 +110,7 @@
 // prepare checks the request and finds out what it asks for.
 func (c *call) prepare() error {
 	_ = c.rc.SetWriteDeadline(time.Time{})
+	c.awaitFirst()
 	if !c.f.cfg.Accepting() {
 		return c.refused("entry is not accepting requests", retryAfter)
 	}
@@ -124,6 +127,20 @@
 	return c.setDeadline()
 }
 
+// awaitFirst waits for the first state, as long as the caller is there.
+func (c *call) awaitFirst() {
+	if c.f.cfg.First == nil || c.f.cfg.State() != nil {
+		return
+	}
+	t := time.NewTimer(firstWait)
+	defer t.Stop()
+	select {
+	case <-c.f.cfg.First:
+	case <-c.r.Context().Done():
+	case <-t.C:
+	}
+}
+
 // checkForm refuses requests that two parties could read differently, and those above the limits.
 func (c *call) checkForm() error {
 	r := c.r
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -56,6 +56,9 @@
 	Quarantine Quarantine
 	// State returns the state in force, or nil before the first one. It must not change what it returned.
 	State func() *sycamorevane.State
+	// First is closed when State returns the first state. Requests that come before wait for it for a moment, since an
+	// entry has it soon after its start; nil refuses them at once.
+	First <-chan struct{}
 	// Accepting reports whether new requests are served; nil means always.
 	Accepting func() bool
 	// Entries serves EntriesPath; nil when callers ask elsewhere.
--- a/forwarder/rules_test.go
+++ b/forwarder/rules_test.go
@@ -174,6 +174,23 @@
 	}
 }
 
+// Guards against refusals by an entry that has just started and gets its configuration in a moment.
+func TestRequestWaitsForTheFirstConfiguration(t *testing.T) {
+	_, server := newScript(t, once(proved, 0))
+	first := make(chan struct{})
+	var state atomic.Pointer[sycamorevane.State]
+	r := newRig(t, withRules(func(cfg *Config, st *sycamorevane.State) {
+		cfg.First, cfg.State = first, state.Load
+		time.AfterFunc(50*time.Millisecond, func() {
+			state.Store(st)
+			close(first)
+		})
+	}), server)
+	resp, _, err := r.do("GET", "/x", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
+
 // Guards against callers who are held beyond the time that the operator set, and against a server that is given more
 // time than is left.
 func TestTimeoutOfARule(t *testing.T) {
--- a/runner/open_control.go
+++ b/runner/open_control.go
@@ -30,6 +30,8 @@
 	// removeAfter is the silence after which a control host is taken out of the group, so that it does not count for
 	// the majority any more; it joins again when it is back. It is longer than the disruptions that hosts survive.
 	removeAfter = 12 * time.Second
+	// greetInterval is how often the leader looks for entries that have just come up.
+	greetInterval = 100 * time.Millisecond
 	// bootTime is how long after the start a control host takes reports of servers without knowing a leader.
 	bootTime = 3 * time.Second
 	// minGroup is the smallest group that hosts are taken out of.
@@ -114,6 +116,7 @@
 	c.pub.Start()
 	c.promote.Start()
 	c.o.wg.Go(c.follow)
+	c.o.wg.Go(c.greetLoop)
 	c.o.wg.Go(c.adoptLoop)
 	c.o.wg.Go(c.groupLoop)
 	adapter, s := c.o.cfg.Adapter, c.o.cfg.Settings
@@ -223,6 +226,37 @@
 	}
 }
 
+// greetLoop pushes at once to entries that have just come up and, on a new leader, to all: an entry without a catalog
+// serves nobody.
+func (c *openControl) greetLoop() {
+	t := time.NewTicker(greetInterval)
+	defer t.Stop()
+	greeted := make(map[string]uint64)
+	term := uint64(0)
+	for {
+		select {
+		case <-t.C:
+		case <-c.o.ctx.Done():
+			return
+		}
+		self, now := c.leads()
+		if !self {
+			continue
+		}
+		fresh := now != term
+		term = now
+		for _, p := range c.o.mesh.Peers() {
+			if p.Alive && p.Roles.Has(sycamorevane.RoleEntry) && greeted[p.Name] != p.Boot {
+				greeted[p.Name] = p.Boot
+				fresh = true
+			}
+		}
+		if fresh {
+			c.pub.Changed()
+		}
+	}
+}
+
 // versions returns the announced slots per version of a service, without servers that are leaving.
 func (c *openControl) versions(service string) map[string]int {
 	slots := make(map[string]int)
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -79,7 +79,7 @@
 	})
 	e.fwd = forwarder.New(forwarder.Config{
 		Self: o.cfg.Settings.Name, Limiter: e.place, State: e.sub.State, Dialect: o.cfg.Adapter.Dialect(),
-		Observe: e.collector.Observe, Grace: answerGrace, Leaving: e.leaving.Load, Dial: openDial,
+		Observe: e.collector.Observe, First: e.sub.First(), Grace: answerGrace, Leaving: e.leaving.Load, Dial: openDial,
 		Peers:      func() int { return int(max(1, e.entries.Load())) },
 		RetryBurst: e.retryBurst, Log: o.cfg.Log, Metrics: o.metrics,
 	})
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -52,9 +52,11 @@
 	state   atomic.Pointer[sycamorevane.State]
 	leaving atomic.Bool
 	wake    chan struct{}
-	ctx     context.Context
-	stop    context.CancelFunc
-	wg      sync.WaitGroup
+	// first is closed when the first state is in force.
+	first chan struct{}
+	ctx   context.Context
+	stop  context.CancelFunc
+	wg    sync.WaitGroup
 
 	mu sync.Mutex
 	// contact is when a control leader that holds a quorum was last heard, peers when a majority of the entries was.
@@ -69,7 +71,7 @@
 // New registers the message handlers. Start begins to follow control.
 func New(cfg Config) *Subscriber {
 	ctx, stop := context.WithCancel(context.Background())
-	s := &Subscriber{cfg: cfg, ctx: ctx, stop: stop, wake: make(chan struct{}, 1)}
+	s := &Subscriber{cfg: cfg, ctx: ctx, stop: stop, wake: make(chan struct{}, 1), first: make(chan struct{})}
 	cfg.Transport.Handle(&encoder.StatePush{}, s.onPush)
 	return s
 }
@@ -86,6 +88,9 @@
 // State returns the state in force, or nil before the first one has arrived. It must not be changed.
 func (s *Subscriber) State() *sycamorevane.State { return s.state.Load() }
 
+// First is closed when the first state is in force.
+func (s *Subscriber) First() <-chan struct{} { return s.first }
+
 // Leave makes the entry withdraw for good; it is told to control and to other entries.
 func (s *Subscriber) Leave() { s.leaving.Store(true) }
 
@@ -288,7 +293,9 @@
 	if cur := s.State(); cur != nil && st.Version <= cur.Version {
 		return true
 	}
-	s.state.Store(st)
+	if s.state.Swap(st) == nil {
+		close(s.first)
+	}
 	s.cfg.Log.Info("state in force", "version", st.Version)
 	s.cfg.Changed(st)
 	return true
