Begin a short rollout at its ceiling

Change: below 20 s allowed the trial begins at the ceiling of 8%. Test: TestFirstShareOfAShortRollout.

--- a/promoter/core.go
+++ b/promoter/core.go
@@ -13,6 +13,8 @@
 const (
 	// firstShare is the largest share until the first evidence.
 	firstShare = 0.01
+	// shortTime is the allowed time below which a rollout begins at its ceiling.
+	shortTime = 20 * time.Second
 	// firstCalls and firstWindows are the first evidence: calls of the new version, and windows with such calls.
 	// After firstPart of the allowed time hastyCalls and hastyWindows suffice.
 	firstCalls   = 8
@@ -567,6 +569,15 @@
 	return float64(now.UnixMilli()-r.Started) / float64(max(r.Deadline-r.Started, 1))
 }
 
+// first is the share until the first evidence. A rollout with little time begins at the ceiling: at a hundredth of a few
+// dozen calls a second the first evidence alone would take a third of it.
+func first(r sycamorevane.Rollout, ceiling float64) float64 {
+	if allowed(r) < shortTime {
+		return ceiling
+	}
+	return min(firstShare, ceiling)
+}
+
 func (t *track) proceed(now time.Time, r sycamorevane.Rollout, capacity Capacity, known bool, ceiling float64, s Step) Step {
 	if !known {
 		return s
@@ -577,7 +588,7 @@
 	switch r.Phase {
 	case sycamorevane.RolloutWaiting:
 		s.Phase = sycamorevane.RolloutTrial
-		s.Share = min(firstShare, ceiling)
+		s.Share = first(r, ceiling)
 		s.Reason = "first calls of the new version"
 	case sycamorevane.RolloutTrial:
 		s = t.trial(now, r, ceiling, s)
--- a/promoter/plain_test.go
+++ b/promoter/plain_test.go
@@ -46,3 +46,20 @@
 	}
 	require.LessOrEqual(t, bad, plainErrors, "bad answers before the revert")
 }
+
+// Guards against a rollout that spends its little time on waiting for its first evidence.
+func TestFirstShareOfAShortRollout(t *testing.T) {
+	for allowed, want := range map[time.Duration]float64{shortTime - time.Second: 0.08, shortTime: firstShare} {
+		c := NewCore()
+		now := time.UnixMilli(1_000_000)
+		r := sycamorevane.Rollout{
+			ID: "r", Service: "s", From: "v1", To: "v2", Phase: sycamorevane.RolloutWaiting,
+			Started: now.UnixMilli(), Deadline: now.Add(allowed).UnixMilli(),
+		}
+		steps := c.Step(Input{
+			Now: now, Rollouts: map[string]sycamorevane.Rollout{"s": r}, Ceilings: map[string]float64{"s": 0.08},
+			Capacity: map[string]Capacity{"s": {New: VersionCapacity{Servers: 2, Slots: 8, Warm: 2}}},
+		})
+		require.InDelta(t, want, steps["s"].Share, 1e-9, allowed)
+	}
+}
