--- a/cmd/sycamorevane/join.go
+++ b/cmd/sycamorevane/join.go
@@ -42,7 +42,9 @@
 	if err != nil {
 		return err
 	}
-	log := recorder.NewLogger(os.Stdout, s.Debug)
+	w := recorder.NewWriter(os.Stdout)
+	defer func() { _ = w.Close() }()
+	log := recorder.NewLogger(w, s.Debug)
 	o, err := runner.NewOpen(runner.OpenConfig{
 		Settings: s, Log: log, Adapter: platform.Adapter{},
 		Reload: func() (*parser.OpenSettings, error) { return parser.LoadOpen(file) },
--- a/cmd/sycamorevane/main.go
+++ b/cmd/sycamorevane/main.go
@@ -23,7 +23,7 @@
 		ShortUsage: "sycamorevane <command> [flags]",
 		ShortHelp:  "a load balancer for servers whose load shifts in milliseconds",
 		Subcommands: []*ffcli.Command{
-			askCommand(), runCommand(), joinCommand(), checkCommand(), doCommand(os.Stdout, parser.LoadConfig), showCommand(os.Stdout), demoCommand(),
+			askCommand(), runCommand(), joinCommand(), explainCommand(os.Stdin, os.Stdout), checkCommand(), doCommand(os.Stdout, parser.LoadConfig), showCommand(os.Stdout), demoCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -89,6 +89,28 @@
 		"version", c.version())
 }
 
+// explainLate logs what an answer that comes after its aim has waited for.
+func (c *call) explainLate(res *result) {
+	if c.rule == nil || c.rule.Aim <= 0 {
+		return
+	}
+	now := time.Now()
+	took := now.Sub(c.began)
+	if took+c.waited <= c.rule.Aim {
+		return
+	}
+	pairs := []any{
+		"request", c.r.Header.Get(c.f.d.RequestID), "service", c.svc.Name, "route", c.route.Name, "status", res.resp.StatusCode,
+		"server", res.server.ID, "dc", res.server.DC, "attempts", c.attempts, "tried", c.avoid, "ms", took.Milliseconds(),
+		"placedms", c.placed.Sub(c.began).Milliseconds(), "serverms", res.latency.Milliseconds(),
+		"waitedms", c.waited.Milliseconds(), "aimms", c.rule.Aim.Milliseconds(), "version", c.version(),
+	}
+	if res.load != nil {
+		pairs = append(pairs, "running", res.load.Running, "waiting", res.load.Waiting, "slots", res.load.Slots, "pace", res.load.Pace)
+	}
+	c.f.sampler.Info(now, "request late", pairs...)
+}
+
 // version is the state version that decided the request; 0 before the first.
 func (c *call) version() uint64 {
 	if c.index == nil {
@@ -159,6 +181,7 @@
 // deliver passes the answer of a server on.
 func (c *call) deliver(res *result) {
 	c.setHeader(res)
+	c.explainLate(res)
 	if res.stream != nil {
 		c.stream(res)
 		return
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -59,6 +59,8 @@
 	after  time.Duration
 	// latency is from the end of the request to the header of the answer.
 	latency time.Duration
+	// load is what the server said of itself; nil when it said nothing.
+	load *sycamorevane.Load
 }
 
 // good reports whether the answer can be given to the caller without trying elsewhere.
@@ -154,6 +156,9 @@
 		}
 		return &result{refused: err}
 	}
+	if !hedge {
+		c.placed = time.Now()
+	}
 	a := &attempt{c: c, ctx: ctx, grant: grant, id: c.attemptID(), began: time.Now(), permit: permit}
 	if granted != nil {
 		granted(grant.Server.ID)
@@ -372,7 +377,7 @@
 // readBody reads a short answer whole and leaves a long one to be streamed.
 func (a *attempt) readBody(resp *http.Response) *result {
 	a.conn.head = -1
-	res := &result{server: a.grant.Server, id: a.id, sent: true, resp: resp, kind: sycamorevane.OutcomeOK, latency: a.latent}
+	res := &result{server: a.grant.Server, id: a.id, sent: true, resp: resp, kind: sycamorevane.OutcomeOK, latency: a.latent, load: a.load}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		res.kind = sycamorevane.OutcomeFailed
 	}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -59,6 +59,8 @@
 	open     *attempt
 	timeout  time.Duration
 	progress time.Duration
+	// placed is when the last server was chosen.
+	placed time.Time
 	// waited is how long the caller has been waiting since its first attempt, as far as known.
 	waited time.Duration
 	// deadline is the time the caller named; zero when it named none, since a slow upload may then take longer
--- /dev/null
+++ b/recorder/writer_test.go
@@ -0,0 +1,35 @@
+package recorder
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against requests that wait because the reader of the log has stopped, and against lines that are lost without
+// a word.
+func TestWriterDoesNotWaitForItsReader(t *testing.T) {
+	r, out := io.Pipe()
+	w := NewWriter(out)
+	log := NewLogger(w, false)
+	began := time.Now()
+	for range 3 * writerLines {
+		log.Info("request failed")
+	}
+	require.Less(t, time.Since(began), 2*time.Second)
+	var buf bytes.Buffer
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = io.Copy(&buf, r)
+	}()
+	require.NoError(t, w.Close())
+	require.NoError(t, out.Close())
+	<-read
+	require.Contains(t, buf.String(), "log lines dropped")
+	require.GreaterOrEqual(t, strings.Count(buf.String(), "request failed"), writerLines/2)
+}
