Keep the catalog over restarts; one request for a server of unknown load; metrics address

Cause: after the loss of all processes the servers reported again within 1.5 s, one after the other.

Change: a control host keeps the servers in a file and takes them at its start as a hint; an entry sends one request to a server that has not told its load yet.

--- a/cataloger/keeper.go
+++ b/cataloger/keeper.go
@@ -43,6 +43,8 @@
 	Commit func(ctx context.Context, ids []string) error
 	// Forgot is called on the leader with servers that are not in the catalog any more.
 	Forgot func(ids []string)
+	// File keeps the catalog over restarts; none without a path.
+	File File
 	// Interval is the time between two reports of a server.
 	Interval time.Duration
 	Log      logr.Logger
@@ -68,6 +70,8 @@
 	// pushed is the revision that the entries have been sent in this term of office.
 	pushed uint64
 	term   uint64
+	// saved is the revision that the file has.
+	saved uint64
 }
 
 // NewKeeper registers the message handlers.
@@ -80,7 +84,13 @@
 }
 
 // Start begins to pass reports on.
-func (k *Keeper) Start() { k.wg.Go(k.loop) }
+func (k *Keeper) Start() {
+	k.restore()
+	k.wg.Go(k.loop)
+	if k.cfg.File.Path != "" {
+		k.wg.Go(k.saveLoop)
+	}
+}
 
 // Close ends the work.
 func (k *Keeper) Close() {
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -55,6 +55,8 @@
 	servers []*server
 	// times are the latencies of good answers by route.
 	times map[string]*times
+	// tells is set when its servers say how loaded they are.
+	tells bool
 	// asked is when the last request for the service came.
 	asked time.Time
 }
@@ -92,6 +94,7 @@
 		s.entry = e
 		byID[e.Server.ID] = s
 		p := c.pool(e.Server.Service)
+		s.tells = p.tells
 		p.servers = append(p.servers, s)
 	}
 	c.byID = byID
@@ -306,6 +309,12 @@
 	if s == nil {
 		return nil, false
 	}
+	if o.Load != nil && !p.tells {
+		p.tells = true
+		for _, other := range p.servers {
+			other.tells = true
+		}
+	}
 	delete(s.started, grant)
 	return s, s.observe(now, usual, o)
 }
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -86,6 +86,22 @@
 	require.True(t, got.full)
 }
 
+// Guards against entries that all fill the first servers they know of after a start.
+func TestServerOfUnknownLoadGetsOneRequest(t *testing.T) {
+	c := newTestCore(entry("known", "a", "v1"), entry("new", "a", "v1"))
+	grant := c.start(start, c.byID["known"])
+	c.finish(start, "s", "known", grant, sycamorevane.Outcome{
+		Kind: sycamorevane.OutcomeOK, Latency: time.Millisecond, Load: &sycamorevane.Load{Running: 1, Slots: 4, Pace: 1},
+	})
+	for range 4 {
+		c.start(start, c.pick(newView(start), ask()).server)
+	}
+	require.Len(t, c.byID["new"].started, 1)
+	require.Len(t, c.byID["known"].started, 3)
+	c.byID["new"].report(start, &sycamorevane.Load{Running: 1, Slots: 4, Pace: 1})
+	require.Equal(t, "new", c.pickID(newView(start), ask()))
+}
+
 // Guards against the view that a server which others fill has room.
 func TestLoadOfOtherEntriesCounts(t *testing.T) {
 	c := newTestCore(entry("x", "a", "v1"), entry("y", "b", "v1"))
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -52,8 +52,10 @@
 	others float64
 	// usually is the smoothed number of requests of other entries.
 	usually float64
-	pace    float64
-	loadAt  time.Time
+	// tells is set when the servers of the service say how loaded they are.
+	tells  bool
+	pace   float64
+	loadAt time.Time
 	// ratio is the smoothed latency relative to the usual one of the same route; 1 at the beginning.
 	ratio     float64
 	failing   float64
@@ -91,6 +93,9 @@
 
 // free reports whether the server has room for one more request.
 func (s *server) free(now time.Time, usual time.Duration) bool {
+	if s.loadAt.IsZero() && s.tells {
+		return len(s.started) == 0 // Other entries may have found it at the same moment.
+	}
 	return s.occupied(now, usual)+0.5 < s.room()
 }
 
--- a/parser/open.go
+++ b/parser/open.go
@@ -34,8 +34,10 @@
 	Control *OpenControl
 	// Memory is the limit of the process in MiB; 0 for none.
 	Memory int
-	Bounds OpenBounds
-	Debug  bool
+	// Metrics is the port at which the metrics are served under /metrics; 0 for none.
+	Metrics int
+	Bounds  OpenBounds
+	Debug   bool
 }
 
 // OpenEntry turns on the entry role.
@@ -104,7 +106,7 @@
 			r.section(sec, []field{
 				{"name", true, text(&s.Name)}, {"dc", true, text(&s.DC)}, {"region", true, text(&s.Region)},
 				{"address", true, ip(&s.Address)}, {"ports", true, ports(&s.Ports)},
-				{"memory", false, whole(&s.Memory, 0, 1<<30)},
+				{"memory", false, whole(&s.Memory, 0, 1<<30)}, {"metrics", false, whole(&s.Metrics, 1, 65535)},
 			})
 		case "cluster":
 			r.section(sec, []field{
--- a/runner/open.go
+++ b/runner/open.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"runtime/debug"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -67,6 +68,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
+	// exposed serves the metrics; nil when they are not.
+	exposed *http.Server
 
 	mu sync.Mutex
 	// members are the control hosts that the leader named last.
@@ -121,11 +124,28 @@
 	if o.entry != nil {
 		o.entry.start()
 	}
+	o.serveMetrics()
 	o.wg.Go(o.contactLoop)
 	o.cfg.Log.Info("process started", "mesh", o.mesh.Addr(), "seeds", o.cfg.Settings.Seeds, "first", o.cfg.Settings.First)
 	return nil
 }
 
+// serveMetrics exposes the metrics; a process serves its callers also without.
+func (o *Open) serveMetrics() {
+	port := o.cfg.Settings.Metrics
+	if port == 0 {
+		return
+	}
+	l, err := net.Listen("tcp", net.JoinHostPort(o.cfg.Settings.Address, strconv.Itoa(port)))
+	if err != nil {
+		o.cfg.Log.Error(err, "metrics are not served", "port", port)
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", o.metrics)
+	o.exposed = o.serveHTTP(l, mux)
+}
+
 // Stop is a graceful shutdown within ctx.
 func (o *Open) Stop(ctx context.Context) {
 	o.cfg.Log.Info("process stops")
@@ -136,6 +156,9 @@
 		o.control.stop(ctx)
 	}
 	o.cancel()
+	if o.exposed != nil {
+		_ = o.exposed.Close()
+	}
 	o.mesh.Close()
 	o.wg.Wait()
 	_ = o.metrics.Close()
--- a/runner/open_control.go
+++ b/runner/open_control.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -77,7 +78,8 @@
 	c.keeper = cataloger.NewKeeper(cataloger.KeeperConfig{
 		Transport: o.mesh, Controls: c.others, Entries: c.entries, Leads: c.leads,
 		Follows: c.follows,
-		Left:    c.left, Commit: c.admin.Leave, Forgot: c.forgot, Interval: s.Bounds.Heartbeat, Log: o.cfg.Log,
+		Left:    c.left, Commit: c.admin.Leave, Forgot: c.forgot, Interval: s.Bounds.Heartbeat,
+		File: cataloger.File{Path: filepath.Join(s.Control.Data, "catalog")}, Log: o.cfg.Log,
 	})
 	c.pub = publisher.New(publisher.Config{
 		Transport: o.mesh, State: c.machine.State, Leader: c.leads, Read: c.read, Entries: c.entries,
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -122,10 +122,7 @@
 	e.reporter.Start()
 	e.o.wg.Go(e.presenceLoop)
 	e.o.wg.Go(e.probeLoop)
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", e.o.metrics)
-	mux.Handle("/", e.o.cfg.Adapter.Ready(e.accepting))
-	e.status = e.o.serveHTTP(e.ready, mux)
+	e.status = e.o.serveHTTP(e.ready, e.o.cfg.Adapter.Ready(e.accepting))
 	e.server = acceptor.New(acceptor.Config{
 		Handler: e.fwd, HeaderBytes: openHeader, HeaderTime: headerTimeout, Idle: idleTimeout, Log: e.o.cfg.Log,
 	})
