Send callers to more entries where hosts are small; probes only from entries in use

Cause: on the grown sites an entry has half the processor and 6 Mbit/s.

Change: an entry says which part of the entries like it should be named, from its core share and link. An entry that is not named does not probe. Tests: TestDirectoryNames, TestProbesOverAllEntries.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -395,6 +395,11 @@
 	}
 	require.Positive(t, n)
 	require.LessOrEqual(t, float64(n*perDC)/10, 60.0, "the users' bound")
+	t.Run("an entry that callers are not sent to asks nobody", func(t *testing.T) {
+		d.cfg.Share = func() (int, int) { return perDC * dcs, perDC * dcs }
+		d.core.pool("s").asked = began
+		require.Empty(t, d.Probes(began))
+	})
 }
 
 func TestProbes(t *testing.T) {
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -36,8 +36,8 @@
 	Stale bool
 }
 
-// Probes lists the servers of the own data centre that should be asked now. Only an entry that has requests for their
-// service asks.
+// Probes lists the servers of the own data centre that should be asked now. Only an entry that callers are sent to asks,
+// and only for services that it has requests for.
 func (d *Dispatcher) Probes(now time.Time) []Probe {
 	st := d.cfg.State()
 	if st == nil {
@@ -46,6 +46,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	v := d.view(now)
+	if v.share.rank >= v.share.entries {
+		return nil // Callers are not sent here.
+	}
 	// The entries of a data centre share the probes of its servers.
 	sharers := float64(v.share.entries) / float64(max(1, len(st.Config.DCs)))
 	pause := max(probeAge, time.Duration(sharers/probeRate*float64(time.Second)))
--- a/parser/open.go
+++ b/parser/open.go
@@ -34,6 +34,9 @@
 	Control *OpenControl
 	// Memory is the limit of the process in MiB; 0 for none.
 	Memory int
+	// Processor is the share of a core that the host has, Link its bandwidth in Mbit/s; 0 when not known.
+	Processor float64
+	Link      float64
 	// Metrics is the port at which the metrics are served under /metrics; 0 for none.
 	Metrics int
 	Bounds  OpenBounds
@@ -106,7 +109,8 @@
 			r.section(sec, []field{
 				{"name", true, text(&s.Name)}, {"dc", true, text(&s.DC)}, {"region", true, text(&s.Region)},
 				{"address", true, ip(&s.Address)}, {"ports", true, ports(&s.Ports)},
-				{"memory", false, whole(&s.Memory, 0, 1<<30)}, {"metrics", false, whole(&s.Metrics, 1, 65535)},
+				{"memory", false, whole(&s.Memory, 0, 1<<30)}, {"cpu", false, number(&s.Processor)},
+				{"link", false, number(&s.Link)}, {"metrics", false, whole(&s.Metrics, 1, 65535)},
 			})
 		case "cluster":
 			r.section(sec, []field{
--- a/resolver/directory.go
+++ b/resolver/directory.go
@@ -13,9 +13,10 @@
 	"sycamorevane.example/sycamorevane/encoder"
 )
 
-// activePart of the entries of a data centre are named to callers. Each then sees enough of the traffic to know the
-// load of the servers from their answers; the others stand ready and take over when one is lost.
-const activePart = 0.25
+// ActivePart of the entries of a data centre are named to callers, unless they ask for more because their hosts are
+// small. Each then sees enough of the traffic to know the load of the servers from their answers; the others stand ready
+// and take over when one is lost.
+const ActivePart = 0.25
 
 // minChoices is how many addresses an answer has at least, as long as there are so many: a caller that finds one of
 // them dead needs another one at once.
@@ -25,14 +26,17 @@
 // choose alike.
 func active(names []string, places map[string]place) []string {
 	total := make(map[string]int)
+	part := make(map[string]float64)
 	for _, name := range names {
-		total[places[name].dc]++
+		p := places[name]
+		total[p.dc]++
+		part[p.dc] = max(part[p.dc], ActivePart, p.part)
 	}
 	taken := make(map[string]int)
 	var list []string
 	for _, name := range names {
 		dc := places[name].dc
-		if taken[dc] < max(minChoices, int(math.Ceil(activePart*float64(total[dc])))) {
+		if taken[dc] < max(minChoices, int(math.Ceil(part[dc]*float64(total[dc])))) {
 			taken[dc]++
 			list = append(list, name)
 		}
@@ -61,6 +65,8 @@
 	accepting bool
 	at        time.Time
 	loads     []*encoder.VersionLoad
+	// part of the entries like this one should be named; 0 for ActivePart.
+	part float64
 }
 
 // NewDirectory registers the message handler.
@@ -74,7 +80,7 @@
 	p, _ := m.(*encoder.Presence)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.entries[from] = place{addr: p.Addr, dc: p.Dc, accepting: p.Accepting && !p.Leaving, at: time.Now(), loads: p.Loads}
+	d.entries[from] = place{addr: p.Addr, dc: p.Dc, accepting: p.Accepting && !p.Leaving, at: time.Now(), loads: p.Loads, part: float64(p.Part) / 100}
 	return nil
 }
 
--- a/resolver/directory_test.go
+++ b/resolver/directory_test.go
@@ -50,6 +50,15 @@
 		d, _ := newTestDirectory(32)
 		require.Len(t, d.Addresses("a"), 8)
 	})
+	t.Run("more of small ones", func(t *testing.T) {
+		d, p := newTestDirectory(0)
+		for i := range 32 {
+			name := fmt.Sprintf("a%02d", i)
+			p.alive[name] = true
+			d.onPresence(name, &encoder.Presence{Accepting: true, Addr: name, Dc: "a", Part: 50})
+		}
+		require.Len(t, d.Addresses("a"), 16)
+	})
 	t.Run("no entry that is gone, leaving or not ready", func(t *testing.T) {
 		d, p := newTestDirectory(5)
 		p.alive["a00"] = false
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -19,6 +19,7 @@
 	"sycamorevane.example/sycamorevane/forwarder"
 	"sycamorevane.example/sycamorevane/promoter"
 	"sycamorevane.example/sycamorevane/recorder"
+	"sycamorevane.example/sycamorevane/resolver"
 	"sycamorevane.example/sycamorevane/subscriber"
 )
 
@@ -36,6 +37,10 @@
 	// probeTick is how often the servers to probe are looked for, probeWait how long an answer may take.
 	probeTick = 30 * time.Millisecond
 	probeWait = 150 * time.Millisecond
+	// fullCPU and fullLink are the core share and the Mbit/s with which a quarter of the entries carries the traffic of
+	// the users' deployments: the hosts of the first two, and a tenth of the uploads of the grown ones at a link.
+	fullCPU  = 0.32
+	fullLink = 12
 	// presenceTick is how often the entry looks for a control host that does not know it yet.
 	presenceTick = 100 * time.Millisecond
 	// openCallers bounds the callers' connections, which share the descriptors of a small host with those to servers.
@@ -202,10 +207,23 @@
 	e.place.Probed(time.Now(), p.Server.ID, r)
 }
 
+// part is the percentage of the entries like this one that callers should be sent to: a host with less than fullCPU or
+// fullLink shares its traffic with more others.
+func part(processor, link float64) uint32 {
+	factor := 1.0
+	if processor > 0 {
+		factor = max(factor, fullCPU/processor)
+	}
+	if link > 0 {
+		factor = max(factor, fullLink/link)
+	}
+	return uint32(100 * min(1, resolver.ActivePart*factor))
+}
+
 func (e *openEntry) announce() {
 	s := e.o.cfg.Settings
 	m := &encoder.Presence{
-		Accepting: e.accepting(), Leaving: e.leaving.Load(), Addr: s.Entry.Caller, Dc: s.DC,
+		Accepting: e.accepting(), Leaving: e.leaving.Load(), Addr: s.Entry.Caller, Dc: s.DC, Part: part(s.Processor, s.Link),
 	}
 	if st := e.sub.State(); st != nil {
 		m.Loads = e.loads(st)
