--- a/forwarder/rules_test.go
+++ b/forwarder/rules_test.go
@@ -44,8 +44,10 @@
 
 func TestRules(t *testing.T) {
 	x := newIndex(&sycamorevane.State{Config: sycamorevane.Config{Rules: []sycamorevane.Rule{
-		{Name: "all", Host: "h.test", Prefix: "/"}, {Name: "deep", Host: "H.test", Prefix: "/a/b/"},
-		{Name: "mid", Host: "h.test", Prefix: "/a/"}, {Name: "other", Host: "o.test", Prefix: "/a/"},
+		{Name: "all", Host: "h.test", Prefix: "/"},
+		{Name: "deep", Host: "H.test", Prefix: "/a/b/"},
+		{Name: "mid", Host: "h.test", Prefix: "/a/"},
+		{Name: "other", Host: "o.test", Prefix: "/a/"},
 	}}})
 	for path, want := range map[string]string{"/a/b/c": "deep", "/a/b/": "deep", "/a/b": "mid", "/ab": "all", "/": "all"} {
 		require.Equal(t, want, x.rule("h.test:80", path).Name, path)
--- a/parser/open.go
+++ b/parser/open.go
@@ -107,15 +107,22 @@
 			r.section(sec, nil)
 		case "host":
 			r.section(sec, []field{
-				{"name", true, text(&s.Name)}, {"dc", true, text(&s.DC)}, {"region", true, text(&s.Region)},
-				{"address", true, ip(&s.Address)}, {"ports", true, ports(&s.Ports)},
-				{"memory", false, whole(&s.Memory, 0, 1<<30)}, {"cpu", false, number(&s.Processor)},
-				{"link", false, number(&s.Link)}, {"metrics", false, whole(&s.Metrics, 1, 65535)},
+				{"name", true, text(&s.Name)},
+				{"dc", true, text(&s.DC)},
+				{"region", true, text(&s.Region)},
+				{"address", true, ip(&s.Address)},
+				{"ports", true, ports(&s.Ports)},
+				{"memory", false, whole(&s.Memory, 0, 1<<30)},
+				{"cpu", false, number(&s.Processor)},
+				{"link", false, number(&s.Link)},
+				{"metrics", false, whole(&s.Metrics, 1, 65535)},
 			})
 		case "cluster":
 			r.section(sec, []field{
-				{"key", true, clusterKey(&s.Key)}, {"seeds", true, addresses(&s.Seeds)},
-				{"first", false, flag(&s.First)}, {"dcs", true, texts(&s.DCs)},
+				{"key", true, clusterKey(&s.Key)},
+				{"seeds", true, addresses(&s.Seeds)},
+				{"first", false, flag(&s.First)},
+				{"dcs", true, texts(&s.DCs)},
 			})
 		case "entry":
 			s.Entry = &OpenEntry{}
@@ -125,7 +132,8 @@
 		case "control":
 			s.Control = &OpenControl{}
 			r.section(sec, []field{
-				{"data", true, text(&s.Control.Data)}, {"listen", true, address(&s.Control.Listen)},
+				{"data", true, text(&s.Control.Data)},
+				{"listen", true, address(&s.Control.Listen)},
 				{"directory", true, address(&s.Control.Directory)},
 			})
 		case "bounds":
@@ -145,10 +153,14 @@
 
 func boundFields(b *OpenBounds) []field {
 	return []field{
-		{"heartbeat", true, millis(&b.Heartbeat)}, {"grace", true, seconds(&b.Grace)}, {"ttl", true, seconds(&b.TTL)},
-		{"retryshare", true, number(&b.RetryShare)}, {"retryslack", true, number(&b.RetrySlack)},
+		{"heartbeat", true, millis(&b.Heartbeat)},
+		{"grace", true, seconds(&b.Grace)},
+		{"ttl", true, seconds(&b.TTL)},
+		{"retryshare", true, number(&b.RetryShare)},
+		{"retryslack", true, number(&b.RetrySlack)},
 		{"retrywindow", true, seconds(&b.RetryWindow)},
-		{"coldfactor", true, number(&b.ColdFactor)}, {"coldslack", true, number(&b.ColdSlack)},
+		{"coldfactor", true, number(&b.ColdFactor)},
+		{"coldslack", true, number(&b.ColdSlack)},
 		{"trialshare", true, number(&b.TrialShare)},
 	}
 }
