Serve the newest request of a long queue first

Change: from a wait of 30 ms on, the newest request of a priority is served first. Test: TestLongQueueServesTheNewestFirst.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -33,6 +34,8 @@
 	startTime = 2 * time.Second
 	// explainEvery is the least time between two descriptions of full servers.
 	explainEvery = time.Second
+	// longWait is the wait of a request in time from which the newest is served first.
+	longWait = 30 * time.Millisecond
 	// returnShare of its remaining time is after when a request that is late anyway should come back.
 	returnShare = 0.3
 	// retryNone is when a caller should come back while no server is known.
@@ -63,6 +66,8 @@
 	core *core
 	// started is when this entry started.
 	started time.Time
+	// waiters counts the requests that had to wait.
+	waiters uint64
 	queue   map[string][]*waiter
 	// returned is since when a data centre is back, known the DrainedDCs and Returned of the last state.
 	returned map[string]time.Time
@@ -75,6 +80,9 @@
 // waiter is a request without a server.
 type waiter struct {
 	ask *sycamorevane.Ask
+	// number grows with each waiter; since is when it came.
+	number uint64
+	since  time.Time
 	// got receives the choice; it has room for one.
 	got chan sycamorevane.Grant
 }
@@ -181,6 +189,8 @@
 
 // enqueue keeps the more urgent before the less urgent, and within a rank the order of arrival.
 func (d *Dispatcher) enqueue(w *waiter) {
+	d.waiters++
+	w.number, w.since = d.waiters, time.Now()
 	list := d.queue[w.ask.Service]
 	i := len(list)
 	for i > 0 && list[i-1].ask.Priority > w.ask.Priority {
@@ -251,24 +261,39 @@
 // so that it must not take the place of one that can be in time.
 func (d *Dispatcher) serveSome(v *view, service string, inTime bool) {
 	p := d.core.pool(service)
-	list := d.queue[service]
-	left := list[:0]
-	full := false
-	for _, w := range list {
-		if full || feasible(v.now, w.ask, p.timesOf(w.ask.Route)) != inTime {
-			left = append(left, w)
-			continue
+	var some []*waiter
+	for _, w := range d.queue[service] {
+		if feasible(v.now, w.ask, p.timesOf(w.ask.Route)) == inTime {
+			some = append(some, w)
 		}
+	}
+	if inTime {
+		newestFirst(v.now, some)
+	}
+	served := sycamorevane.NewSet[uint64]()
+	for _, w := range some {
 		got := d.core.pick(v, w.ask)
 		if got.server == nil {
-			full = true
-			left = append(left, w)
-			continue
+			break
 		}
+		served.Add(w.number)
 		w.got <- d.grant(v, got)
 	}
-	clear(list[len(left):])
-	d.queue[service] = left
+	if len(served) > 0 {
+		d.queue[service] = slices.DeleteFunc(d.queue[service], func(w *waiter) bool { return served.Has(w.number) })
+	}
+}
+
+// newestFirst turns the order within each priority around while the queue is long. In the order of arrival all would be
+// served when they have almost no time left, and most of them late; so those that come now are in time.
+func newestFirst(now time.Time, list []*waiter) {
+	long := slices.ContainsFunc(list, func(w *waiter) bool { return now.Sub(w.since) > longWait })
+	if !long {
+		return
+	}
+	slices.SortFunc(list, func(a, b *waiter) int {
+		return cmp.Or(cmp.Compare(a.ask.Priority, b.ask.Priority), cmp.Compare(b.number, a.number))
+	})
 }
 
 func (d *Dispatcher) grant(v *view, got choice) sycamorevane.Grant {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -258,6 +258,27 @@
 	return d
 }
 
+// Guards against a long queue in which each request is served when it has almost no time left.
+func TestLongQueueServesTheNewestFirst(t *testing.T) {
+	live := entry("x", "a", "v1")
+	live.Heard = time.Now()
+	d := newTestDispatcher(newState(), live)
+	now := time.Now()
+	var list []*waiter
+	for i := range 4 {
+		w := &waiter{got: make(chan sycamorevane.Grant, 1), ask: &sycamorevane.Ask{
+			Service: "s", Route: "r", Priority: i % 2, Aim: now.Add(time.Second), Deadline: now.Add(time.Minute),
+		}}
+		d.enqueue(w)
+		w.since = now.Add(-2 * longWait)
+		list = append(list, w)
+	}
+	d.serve(now, "s")
+	for i, want := range []int{1, 0, 1, 1} {
+		require.Len(t, list[i].got, want, "of two waiters each, the room for three goes to the more urgent and the newest")
+	}
+}
+
 // Guards against refusals for a start that everybody knows of: servers report again within a second or two.
 func TestRequestsWaitForServersAfterTheStart(t *testing.T) {
 	d := newTestDispatcher(newState())
