Take callers' limits from the configuration; decide retries and trial shares in the product

Change: acceptor.Limits come from the state in force; administrator.Policy derives the shares from the deployment's bounds. Tests: TestConfigure, TestRefusedRequests.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -18,11 +18,17 @@
 // Config holds what a Server is built from.
 type Config struct {
 	Handler http.Handler
+	// Limits returns the limits in force; it is called for each request.
+	Limits func() Limits
+	Log    logr.Logger
+}
+
+// Limits bound what callers may do.
+type Limits struct {
 	// HeaderBytes bounds a request header, HeaderTime its arrival, Idle the time without a request.
 	HeaderBytes int
 	HeaderTime  time.Duration
 	Idle        time.Duration
-	Log         logr.Logger
 }
 
 // Server serves the connections of listeners.
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -176,7 +176,7 @@
 	n.waiting = true
 	deadline := time.Time{}
 	if n.active == 0 {
-		deadline = n.since.Add(n.s.cfg.Idle)
+		deadline = n.since.Add(n.s.cfg.Limits().Idle)
 	}
 	_ = n.net.SetReadDeadline(deadline)
 	return true
@@ -206,7 +206,7 @@
 func (n *conn) idled() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.active == 0 && time.Since(n.since) >= n.s.cfg.Idle
+	return n.active == 0 && time.Since(n.since) >= n.s.cfg.Limits().Idle
 }
 
 // stop lets the running requests be answered without reading further ones.
@@ -218,8 +218,9 @@
 
 // read reads the header of a request and checks what http.ReadRequest leaves to its caller.
 func (n *conn) read() (*http.Request, error) {
-	n.head = max(0, n.s.cfg.HeaderBytes-n.r.Buffered())
-	_ = n.net.SetReadDeadline(time.Now().Add(n.s.cfg.HeaderTime))
+	limits := n.s.cfg.Limits()
+	n.head = max(0, limits.HeaderBytes-n.r.Buffered())
+	_ = n.net.SetReadDeadline(time.Now().Add(limits.HeaderTime))
 	req, err := http.ReadRequest(n.r)
 	n.head = -1
 	if err != nil {
--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -3,9 +3,11 @@
 package administrator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -44,8 +46,46 @@
 	Read func(ctx context.Context) error
 	// Versions returns the announced slots per version of a service.
 	Versions func(service string) map[string]int
-	Clock    sycamorevane.Clock
-	Log      logr.Logger
+	// Policy completes the services of a configuration.
+	Policy Policy
+	Clock  sycamorevane.Clock
+	Log    logr.Logger
+}
+
+// Policy is what services get that a configuration says nothing about.
+type Policy struct {
+	// Retry, Hedge and Ceiling are as in sycamorevane.Service.
+	Retry   float64
+	Hedge   float64
+	Ceiling float64
+}
+
+const (
+	// retryPart of the allowed retries is used, since those that servers reject count as well; hedgePart of them are
+	// early ones.
+	retryPart = 0.75
+	hedgePart = 0.6
+	// trialPart of the requests that a bad version may get is the largest share of one that has not shown itself good.
+	// The rest is for the share that it gets while the calls move.
+	trialPart = 0.8
+)
+
+// NewPolicy derives the policy from the promises of a deployment: the share of requests that may be sent once more, and
+// the share that a bad version may get.
+func NewPolicy(retries, trial float64) Policy {
+	return Policy{Retry: retryPart * retries, Hedge: hedgePart * retries, Ceiling: trialPart * trial}
+}
+
+func (p Policy) complete(cfg *sycamorevane.Config) *sycamorevane.Config {
+	out := *cfg
+	out.Services = slices.Clone(cfg.Services)
+	for i := range out.Services {
+		s := &out.Services[i]
+		s.Retry = cmp.Or(s.Retry, p.Retry)
+		s.Hedge = cmp.Or(s.Hedge, p.Hedge)
+		s.Ceiling = cmp.Or(s.Ceiling, p.Ceiling)
+	}
+	return &out
 }
 
 // Administrator is safe for concurrent use.
@@ -64,7 +104,7 @@
 	if a.cfg.State().Config.Number >= cfg.Number {
 		return nil
 	}
-	return a.commit(ctx, applier.Command{Op: applier.OpConfigure, Args: applier.Args{Config: cfg}})
+	return a.commit(ctx, applier.Command{Op: applier.OpConfigure, Args: applier.Args{Config: a.cfg.Policy.complete(cfg)}})
 }
 
 // Configuration returns the newest configuration. Errors: *UnavailableError when this host cannot be sure which one is
--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -84,6 +84,19 @@
 		require.NoError(t, a.Configure(ctx, config(3, "/y/")))
 		require.Equal(t, "/x/", c.machine.State().Config.Rules[0].Prefix)
 	})
+	t.Run("services get the deployment's policy", func(t *testing.T) {
+		a, c := newAdministrator()
+		a.cfg.Policy = NewPolicy(0.2, 0.1)
+		cfg := config(3, "/x/")
+		cfg.Services = append(cfg.Services, sycamorevane.Service{Name: "own", Retry: 0.01})
+		require.NoError(t, a.Configure(ctx, cfg))
+		got := c.machine.State().Config.Services
+		require.InDelta(t, 0.15, got[0].Retry, 1e-9)
+		require.InDelta(t, 0.12, got[0].Hedge, 1e-9)
+		require.InDelta(t, 0.08, got[0].Ceiling, 1e-9)
+		require.InDelta(t, 0.01, got[1].Retry, 1e-9)
+		require.Zero(t, cfg.Services[0].Retry, "the caller's configuration stays as it is")
+	})
 	t.Run("an order whose answer was lost is accepted again", func(t *testing.T) {
 		a, c := newAdministrator()
 		c.lost = true
--- a/parser/open.go
+++ b/parser/open.go
@@ -15,9 +15,8 @@
 // OpenSettings is what one process reads at start in an open deployment, whose hosts find each other from a few seeds.
 type OpenSettings struct {
 	// Name is this host's name for people; the system knows it by its mesh address.
-	Name   string
-	DC     string
-	Region string
+	Name string
+	DC   string
 	// Address is this host's IP number, Ports the first and last port that are free for traffic between hosts.
 	Address string
 	Ports   [2]int
@@ -66,11 +65,10 @@
 	Grace time.Duration
 	// TTL is the longest time that callers may keep the directory's answer.
 	TTL time.Duration
-	// RetryShare and RetrySlack bound the requests that are sent once more: a share of all requests and a number
-	// besides, within RetryWindow and over all entries.
-	RetryShare  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// RetryShare and RetrySlack bound the requests that are sent once more within some seconds and over all entries: a
+	// share of all requests, and a number besides.
+	RetryShare float64
+	RetrySlack float64
 	// ColdFactor and ColdSlack bound the requests per second of a cold server over all entries.
 	ColdFactor float64
 	ColdSlack  float64
@@ -109,7 +107,6 @@
 			r.section(sec, []field{
 				{"name", true, text(&s.Name)},
 				{"dc", true, text(&s.DC)},
-				{"region", true, text(&s.Region)},
 				{"address", true, ip(&s.Address)},
 				{"ports", true, ports(&s.Ports)},
 				{"memory", false, whole(&s.Memory, 0, 1<<30)},
@@ -158,7 +155,6 @@
 		{"ttl", true, seconds(&b.TTL)},
 		{"retryshare", true, number(&b.RetryShare)},
 		{"retryslack", true, number(&b.RetrySlack)},
-		{"retrywindow", true, seconds(&b.RetryWindow)},
 		{"coldfactor", true, number(&b.ColdFactor)},
 		{"coldslack", true, number(&b.ColdSlack)},
 		{"trialshare", true, number(&b.TrialShare)},
--- a/runner/open_control.go
+++ b/runner/open_control.go
@@ -73,7 +73,8 @@
 	c.dir = resolver.NewDirectory(resolver.DirectoryConfig{Transport: o.mesh, Max: directoryMax})
 	c.admin = administrator.New(administrator.Config{
 		State: c.machine.State, Propose: c.repl.Propose, Read: c.read, Versions: c.versions,
-		Clock: processClock, Log: o.cfg.Log,
+		Policy: administrator.NewPolicy(s.Bounds.RetryShare, s.Bounds.TrialShare),
+		Clock:  processClock, Log: o.cfg.Log,
 	})
 	c.keeper = cataloger.NewKeeper(cataloger.KeeperConfig{
 		Transport: o.mesh, Controls: c.others, Entries: c.entries, Leads: c.leads,
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -129,7 +130,7 @@
 	e.o.wg.Go(e.probeLoop)
 	e.status = e.o.serveHTTP(e.ready, e.o.cfg.Adapter.Ready(e.accepting))
 	e.server = acceptor.New(acceptor.Config{
-		Handler: e.fwd, HeaderBytes: openHeader, HeaderTime: headerTimeout, Idle: idleTimeout, Log: e.o.cfg.Log,
+		Handler: e.fwd, Limits: e.limits, Log: e.o.cfg.Log,
 	})
 	l := forwarder.Guard(netutil.LimitListener(e.callers, openCallers))
 	e.o.wg.Go(func() {
@@ -139,6 +140,18 @@
 	})
 }
 
+// limits are those of the configuration, as far as it says.
+func (e *openEntry) limits() acceptor.Limits {
+	l := acceptor.Limits{HeaderBytes: openHeader, HeaderTime: headerTimeout, Idle: idleTimeout}
+	if st := e.sub.State(); st != nil {
+		c := st.Config.Limits
+		l.HeaderBytes = cmp.Or(c.Header, l.HeaderBytes)
+		l.HeaderTime = cmp.Or(c.HeaderTime, l.HeaderTime)
+		l.Idle = cmp.Or(c.Idle, l.Idle)
+	}
+	return l
+}
+
 // accepting reports whether callers may be sent here.
 func (e *openEntry) accepting() bool { return e.sub.Connected() && !e.leaving.Load() }
 
