--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -104,8 +104,13 @@
 // counts are the metrics of a forwarder.
 type counts struct {
 	calls, refused, uncertain, retries, hedges, panics, truncated, mismatched tally.Counter
+	// latency is the time from the request to its answer.
+	latency tally.Histogram
 }
 
+// latencyBuckets reach from 2 ms to 16 s in steps of two, far enough for the longest deadlines of the users.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 14)
+
 // New returns a handler. Close ends its connections.
 func New(cfg Config) *Forwarder {
 	if cfg.Accepting == nil {
@@ -135,6 +140,7 @@
 		calls: m.Counter("calls"), refused: m.Counter("refused"), uncertain: m.Counter("uncertain"),
 		retries: m.Counter("retries"), hedges: m.Counter("hedges"), panics: m.Counter("panics"),
 		truncated: m.Counter("truncated"), mismatched: m.Counter("mismatched"),
+		latency: m.Histogram("latency", latencyBuckets),
 	}
 	f.sampler = recorder.NewSampler(cfg.Log)
 	f.pools.init(cfg.Dial)
@@ -159,6 +165,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer c.contain()
+	defer func() { f.counts.latency.RecordDuration(time.Since(c.began)) }()
 	f.counts.calls.Inc(1)
 	if err := c.prepare(); err != nil {
 		c.refuse(err)
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 )
 
 func TestLogIsJSONLines(t *testing.T) {
@@ -31,10 +32,12 @@
 	for range 2 {
 		m := NewMetrics("e1")
 		m.Counter("calls-total").Inc(3)
+		m.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 4)).RecordDuration(3 * time.Millisecond)
 		require.Eventually(t, func() bool {
 			w := httptest.NewRecorder()
 			m.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
-			return bytes.Contains(w.Body.Bytes(), []byte(`sycamorevane_calls_total{host="e1"} 3`))
+			return bytes.Contains(w.Body.Bytes(), []byte(`sycamorevane_calls_total{host="e1"} 3`)) &&
+				bytes.Contains(w.Body.Bytes(), []byte(`sycamorevane_latency_bucket{host="e1",le="0.004"} 1`))
 		}, 3*time.Second, 20*time.Millisecond)
 		require.NoError(t, m.Close())
 	}
