Apply a messenger's filter to hellos; a dropped peer opened sessions that counted as contact

Cause: the test's partition dropped messages but not the hello of a new session. A silent session is closed after 3 s and dialled again; the accepting side answered the hello, which set the time the peer was last heard. Whether the entry's check came before or after the new session hung on the phase of two tickers. Ruled out: contact through the control host (its pushes stop with the filter; no ask runs while nothing is pending). A real cut stops hellos as well, so the entry's rule stays. Both new tests fail before the change, pass after it.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -52,8 +52,8 @@
 	Log logr.Logger
 	// Metrics counts the payload bytes sent by message; nil for none.
 	Metrics tally.Scope
-	// Filter, when set, drops messages to and from peers for which it returns false. Tests use it for
-	// network partitions that stay silent.
+	// Filter, when set, drops messages to and from peers for which it returns false, and sessions with them that
+	// begin. Tests use it for network partitions that stay silent.
 	Filter func(peer string) bool
 }
 
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -101,6 +101,28 @@
 	expectReply(t, b, "a")
 }
 
+// Guards against a partition of a test that lets new sessions through: their hellos would count as contact.
+func TestPartitionOpensNoSession(t *testing.T) {
+	for name, filters := range map[string][2]func(string) bool{
+		"dialling side drops":  {func(string) bool { return false }, nil},
+		"accepting side drops": {nil, func(string) bool { return false }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := start(t, "a", testKey, filters[0]), start(t, "b", testKey, filters[1])
+			a.Connect("b", "dc-a", b.Addr())
+			heard := func(m *Messenger) bool {
+				for _, p := range m.Peers() {
+					if !p.Heard.IsZero() {
+						return true
+					}
+				}
+				return false
+			}
+			require.Never(t, func() bool { return heard(a) || heard(b) }, time.Second, 5*time.Millisecond)
+		})
+	}
+}
+
 // Guards against a round trip that is never measured, or that counts the time a heartbeat waited at the peer.
 func TestRoundTripIsMeasured(t *testing.T) {
 	a, b := start(t, "a", testKey, nil), start(t, "b", testKey, nil)
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"time"
 
@@ -166,21 +167,40 @@
 	}
 	deadline := time.Now().Add(handshakeTimeout)
 	_ = s.streams[0].SetDeadline(deadline)
-	mine := &encoder.Hello{
-		Name: m.cfg.Self, Dc: m.cfg.DC, Roles: m.cfg.Roles.Sorted(), Addr: m.Addr(), Boot: m.boot,
-	}
-	if _, err := protodelim.MarshalTo(s.streams[0], mine); err != nil {
-		return nil, errors.Trace(err)
-	}
 	theirs := &encoder.Hello{}
-	r := &byteReader{s.streams[0]}
-	if err := (protodelim.UnmarshalOptions{MaxSize: bulkSize}).UnmarshalFrom(r, theirs); err != nil {
+	var err error
+	// The accepting side reads first, so that it answers nothing to a peer that its filter drops.
+	if dialled {
+		if err = m.writeHello(s.streams[0]); err == nil {
+			err = m.readHello(s.streams[0], theirs)
+		}
+	} else if err = m.readHello(s.streams[0], theirs); err == nil {
+		err = m.writeHello(s.streams[0])
+	}
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	_ = s.streams[0].SetDeadline(time.Time{})
 	return theirs, nil
 }
 
+func (m *Messenger) writeHello(w io.Writer) error {
+	_, err := protodelim.MarshalTo(w, &encoder.Hello{
+		Name: m.cfg.Self, Dc: m.cfg.DC, Roles: m.cfg.Roles.Sorted(), Addr: m.Addr(), Boot: m.boot,
+	})
+	return err
+}
+
+func (m *Messenger) readHello(stream net.Conn, hello *encoder.Hello) error {
+	if err := (protodelim.UnmarshalOptions{MaxSize: bulkSize}).UnmarshalFrom(&byteReader{stream}, hello); err != nil {
+		return err
+	}
+	if !m.allowed(hello.Name) {
+		return errors.Errorf("filter drops peer %q", hello.Name)
+	}
+	return nil
+}
+
 // stream opens the next stream on the dialling side and accepts it on the other. The dialling side writes one
 // byte, since yamux tells the other side of a stream only with its first data.
 func (m *Messenger) stream(s *session, dialled bool) (net.Conn, error) {
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -69,6 +69,12 @@
 }
 
 func startEntry(t *testing.T, controls ...*control) (*Subscriber, *[]uint64) {
+	t.Helper()
+	return startEntryAfter(t, 0, controls...)
+}
+
+// startEntryAfter starts the subscriber some time after its messenger, which shifts its checks against the heartbeats.
+func startEntryAfter(t *testing.T, shift time.Duration, controls ...*control) (*Subscriber, *[]uint64) {
 	t.Helper()
 	net := startMessenger(t, "e1", "entry", nil)
 	var names []string
@@ -83,6 +89,7 @@
 	for _, c := range controls {
 		net.Connect(c.net.Self(), "dc-a", c.net.Addr())
 	}
+	time.Sleep(shift)
 	s.Start()
 	t.Cleanup(s.Close)
 	return s, versions
@@ -173,13 +180,24 @@
 	require.Eventually(t, func() bool { return time.Since(s.peerMajority(time.Now())) < ContactLimit }, 3*time.Second, 10*time.Millisecond)
 }
 
-// Guards against a limit that starts only when silent peers count as dead: the entry would serve 1.5 s longer.
+// Guards against a limit that starts only when silent peers count as dead, so that the entry would serve 1.5 s longer,
+// and against one that begins anew when a silent session is closed and dialled again.
 func TestSilentPeersEndTheServiceWithinTheContactLimit(t *testing.T) {
 	if testing.Short() {
 		t.Skip("waits for the contact limit")
 	}
+	for _, shift := range []time.Duration{0, 75 * time.Millisecond, 150 * time.Millisecond, 225 * time.Millisecond} {
+		t.Run(shift.String(), func(t *testing.T) {
+			t.Parallel()
+			expectWithdrawal(t, shift)
+		})
+	}
+}
+
+func expectWithdrawal(t *testing.T, shift time.Duration) {
+	t.Helper()
 	c := startControl(t, "c1", 3)
-	s, _ := startEntry(t, c)
+	s, _ := startEntryAfter(t, shift, c)
 	expectVersion(t, s, 3)
 	var cut atomic.Bool
 	peer := startMessenger(t, "e2", "entry", func(string) bool { return !cut.Load() })
