--- /dev/null
+++ b/modeler/open_test.go
@@ -0,0 +1,65 @@
+package modeler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// lookups is a service of short requests on machines that neighbours make slow for a third of the time.
+func lookups(servers int) Open {
+	return Open{
+		Entries: 6, DCs: 3, Servers: servers, Slots: 6, Queue: 12, Knee: 0.8, KneeFactor: 1.7,
+		Noise: Noise{Share: 0.35, Factor: 4, Every: 300 * time.Millisecond},
+		Kinds: []Kind{
+			{Name: "lookup", Rate: 225, Work: 90 * time.Millisecond, Spread: 0.3, Aim: 250 * time.Millisecond, Deadline: 2 * time.Second, Worth: 1, Priority: 2, Retries: 2},
+			{Name: "order", Rate: 64, Work: 120 * time.Millisecond, Spread: 0.3, Aim: 300 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 2, Priority: 1, Retries: 2},
+		},
+		Warm: time.Second, Length: 6 * time.Second, Seed: 1,
+	}
+}
+
+func play(t *testing.T, o Open) (r OpenResult) {
+	synctest.Test(t, func(*testing.T) { r = RunOpen(o) })
+	return r
+}
+
+// Guards against a model that loses requests, or in which a quiet deployment is late.
+func TestOpenCalm(t *testing.T) {
+	o := lookups(12)
+	o.Noise = Noise{}
+	o.Load(0.3)
+	r := play(t, o)
+	asked := 0
+	for _, k := range r.Kinds {
+		require.Zero(t, k.Refused)
+		require.Equal(t, k.Asked, k.InAim+k.Late)
+		asked += k.Asked
+	}
+	require.InDelta(t, 0.3*o.Capacity()*6, asked, 0.1*o.Capacity()*6)
+	require.Greater(t, r.Worth, 0.99)
+}
+
+// Guards against a comparison with a central queue that makes the mistakes of the entries.
+func TestOpenOracleStaysBelowTheKnee(t *testing.T) {
+	o := lookups(12)
+	o.Oracle = true
+	o.Load(0.9)
+	require.Zero(t, play(t, o).OverKnee)
+}
+
+// Guards against a deployment that does less, the more is asked of it.
+func TestOpenGoodputUnderOverload(t *testing.T) {
+	goodput := make(map[float64]float64)
+	peak := 0.0
+	for _, load := range []float64{0.7, 1, 1.5, 3} {
+		o := lookups(12)
+		o.Load(load)
+		goodput[load] = load * play(t, o).Worth
+		peak = max(peak, goodput[load])
+	}
+	require.Greater(t, goodput[1.5], 0.9*max(goodput[0.7], goodput[1]))
+	require.Greater(t, goodput[3], 0.85*peak)
+}
