--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -197,7 +197,7 @@
 		}
 		got.full = true
 		cold := isCold(v, s, svc)
-		if cold && !c.allowsCold(v, s, svc) || !s.free(v.now, usual) || timely && s.expected(v.now, t.base) > left {
+		if cold && !c.allowsCold(v, s, svc) || !s.free(v.now, usual, v.share.entries) || timely && s.expected(v.now, t.base) > left {
 			continue
 		}
 		cost := s.cost(v.now, usual, c.dc, cold) * (1 + jitter*c.rand.Float64())
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -119,6 +119,28 @@
 	})
 }
 
+// Guards against entries that all take the same room, because each has heard of it from the same answers.
+func TestRoomIsKeptForOtherEntries(t *testing.T) {
+	const entries = 6
+	place := func(running int, age time.Duration, entries int) bool {
+		c := newTestCore(entry("x", "a", "v1"))
+		c.pools["s"].timesOf("r").usual = 100 * time.Millisecond
+		s := c.byID["x"]
+		s.tells = true
+		s.report(start, &sycamorevane.Load{Running: running, Slots: 4, Pace: 1})
+		s.usually = float64(running)
+		v := newView(start.Add(age))
+		v.share.entries = entries
+		return c.pick(v, ask()).server != nil
+	}
+	require.True(t, place(2, 0, entries), "it has just told of one free slot below its knee")
+	require.False(t, place(2, 100*time.Millisecond, entries))
+	require.True(t, place(2, 100*time.Millisecond, 1), "nobody else sends to it")
+	require.False(t, place(1, 100*time.Millisecond, entries))
+	require.True(t, place(0, 100*time.Millisecond, entries), "an idle server takes a request in any case")
+	require.True(t, place(0, time.Minute, entries))
+}
+
 // Guards against requests on a machine that others have made slow for a moment, where they would be late.
 func TestRequestWaitsForAMachineOnWhichItIsInTime(t *testing.T) {
 	c := newTestCore(entry("slow", "a", "v1"), entry("quiet", "a", "v1"))
