Choose a server of another data centre only when it is twice as fast

Cause: servers of other data centres tell their load only with their answers, so that what is known of them is the oldest; at a cost of 1.25 they won against near ones whose state is known, and were full.

--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -18,9 +18,9 @@
 	// kneeShare is the part of a server's slots that is used. Above it all work on the server slows down by more than
 	// the further slots add.
 	kneeShare = 0.8
-	// distantCost makes a server of the own data centre win unless it is clearly slower: traffic between data centres
-	// costs time and money.
-	distantCost = 1.25
+	// distantCost makes a server of the own data centre win unless it is twice as slow: traffic between data centres costs
+	// time and money, and what is known of a distant server is older, as only near ones are asked for their load.
+	distantCost = 2.0
 	// busyCost is the cost of a full server beside an idle one.
 	busyCost = 0.25
 	// coldCost is how much slower a cold server is taken to be.
