Let three entries of a data centre each keep informed about a server

Change: of more than three named entries of a data centre, three by hash are a server's home entries; only they ask for its load, more often than before at the same sum, and others choose it when it is twice as fast. Deployments with up to three named entries a data centre are served as before. Tests: TestEntriesPreferTheirHomeServers; TestProbesOverAllEntries now sums the probes of all entries of a data centre and lets answers come only to questions (before, each millisecond brought one, which left almost nothing to count).

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -22,6 +22,11 @@
 	usualWeight = 0.1
 	// jitter spreads the choices of entries that know the same of the servers.
 	jitter = 0.15
+	// homeEntries is how many entries of a data centre keep themselves informed about a server of it. More of them know
+	// less each; with fewer, an entry has too few servers to choose from.
+	homeEntries = 3
+	// foreignCost makes such a server win unless it is twice as slow.
+	foreignCost = 2.0
 	// silentCost keeps requests off servers that control has not heard, as long as others can take them.
 	silentCost = 20.0
 	// pausedCost does so for paused ones.
@@ -201,6 +206,9 @@
 			continue
 		}
 		cost := s.cost(v.now, usual, c.dc, cold) * (1 + jitter*c.rand.Float64())
+		if s.entry.Server.DC == c.dc && !c.home(v, s) {
+			cost *= foreignCost
+		}
 		if s.entry.Silent {
 			cost *= silentCost
 		}
@@ -262,6 +270,24 @@
 	return ok && v.now.Sub(since) < svc.Cold && s.entry.Heard.Before(since)
 }
 
+// home reports whether a server of the own data centre is one of those that this entry sends most of its requests to, and
+// asks for their load. With many entries each would otherwise see so little of every server that it knows none. Names of
+// entries are addresses, so that those of a data centre mostly follow each other and have different remainders.
+func (c *core) home(v *view, s *server) bool {
+	n := v.nearEntries()
+	if n <= homeEntries {
+		return true
+	}
+	offset := (v.share.rank%n + n - int(xxhash.Sum64String(s.entry.Server.ID)%uint64(n))) % n
+	return offset < homeEntries
+}
+
+// nearEntries is how many entries a data centre has that callers are sent to.
+func (v *view) nearEntries() int {
+	dcs := max(1, len(v.state.Config.DCs))
+	return max(1, (v.share.entries+dcs-1)/dcs)
+}
+
 // coldEntries is how many entries share the requests of a cold server. Each may send one at any moment on top of its
 // part of the rate, which keeps the sum below the bound.
 func (c *core) coldEntries(v *view, svc *sycamorevane.Service) int {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -119,6 +120,52 @@
 	})
 }
 
+// Guards against many entries that each know nothing of any server, since each sees too few of its answers.
+func TestEntriesPreferTheirHomeServers(t *testing.T) {
+	const perDC, dcs, servers = 12, 3, 40
+	var entries []cataloger.Entry
+	for i := range servers {
+		entries = append(entries, entry(fmt.Sprintf("s%d", i), "a", "v1"))
+	}
+	homes := make(map[string]int)
+	for rank := range perDC {
+		c := newTestCore(entries...)
+		v := newView(start)
+		v.state.Config.DCs = []string{"a", "b", "c"}
+		v.share = share{rank, perDC * dcs}
+		mine := sycamorevane.NewSet[string]()
+		for id, s := range c.byID {
+			if c.home(v, s) {
+				homes[id]++
+				mine.Add(id)
+			}
+		}
+		for range len(mine) {
+			got := c.pick(v, ask())
+			require.True(t, mine.Has(got.server.entry.Server.ID))
+			c.start(start, got.server)
+		}
+		for id := range mine {
+			c.byID[id].pause(start, time.Second)
+		}
+		require.NotNil(t, c.pick(v, ask()).server, "others are used where its own ones are not fit")
+	}
+	for id, n := range homes {
+		require.Equal(t, homeEntries, n, id)
+	}
+	require.Len(t, homes, servers)
+
+	t.Run("few entries know all servers", func(t *testing.T) {
+		c := newTestCore(entries...)
+		v := newView(start)
+		v.state.Config.DCs = []string{"a", "b", "c"}
+		v.share = share{4, homeEntries * dcs}
+		for _, s := range c.byID {
+			require.True(t, c.home(v, s))
+		}
+	})
+}
+
 // Guards against entries that all take the same room, because each has heard of it from the same answers.
 func TestRoomIsKeptForOtherEntries(t *testing.T) {
 	const entries = 6
@@ -426,18 +473,29 @@
 	live := entry("x", "a", "v1")
 	st := newState()
 	st.Config.DCs = []string{"a", "b", "c"}
-	d := newTestDispatcher(st, live)
-	d.cfg.Share = func() (int, int) { return 0, perDC * dcs }
 	began := time.Now()
-	n := 0
-	for ms := range 10_000 {
-		now := began.Add(time.Duration(ms) * time.Millisecond)
-		d.core.pool("s").asked = now
-		n += len(d.Probes(now))
-		d.Probed(now, "x", ProbeResult{Answered: true, Load: &sycamorevane.Load{Slots: 4}, Cold: -1})
+	askers, n := 0, 0
+	var d *Dispatcher
+	for rank := range perDC {
+		d = newTestDispatcher(st, live)
+		d.cfg.Share = func() (int, int) { return rank, perDC * dcs }
+		own := 0
+		for ms := 0; ms < 10_000; ms += 5 {
+			now := began.Add(time.Duration(ms) * time.Millisecond)
+			d.core.pool("s").asked = now
+			if len(d.Probes(now)) > 0 {
+				own++
+				d.Probed(now, "x", ProbeResult{Answered: true, Load: &sycamorevane.Load{Slots: 4}, Cold: -1})
+			}
+		}
+		n += own
+		if own > 0 {
+			askers++
+		}
 	}
-	require.Positive(t, n)
-	require.LessOrEqual(t, float64(n*perDC)/10, 60.0, "the users' bound")
+	require.Equal(t, homeEntries, askers)
+	require.Greater(t, n, 10*10, "its load changes several times a second")
+	require.LessOrEqual(t, float64(n)/10, 60.0, "the users' bound")
 	t.Run("an entry that callers are not sent to asks nobody", func(t *testing.T) {
 		d.cfg.Share = func() (int, int) { return perDC * dcs, perDC * dcs }
 		d.core.pool("s").asked = began
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -36,7 +36,7 @@
 	Stale bool
 }
 
-// Probes lists the servers of the own data centre that should be asked now. Only an entry that callers are sent to asks,
+// Probes lists the home servers of this entry that should be asked now. Only an entry that callers are sent to asks,
 // and only for services that it has requests for.
 func (d *Dispatcher) Probes(now time.Time) []Probe {
 	st := d.cfg.State()
@@ -49,9 +49,8 @@
 	if v.share.rank >= v.share.entries {
 		return nil // Callers are not sent here.
 	}
-	// The entries of a data centre share the probes of its servers.
-	sharers := float64(v.share.entries) / float64(max(1, len(st.Config.DCs)))
-	pause := max(probeAge, time.Duration(sharers/probeRate*float64(time.Second)))
+	sharers := min(homeEntries, v.nearEntries())
+	pause := max(probeAge, time.Duration(sharers)*time.Second/probeRate)
 	var list []Probe
 	for service, p := range d.core.pools {
 		svc := st.Config.Service(service)
@@ -59,7 +58,7 @@
 			continue
 		}
 		for _, s := range p.servers {
-			if s.entry.Server.DC != d.core.dc || s.probing || !usable(v, s, "", nil) {
+			if s.entry.Server.DC != d.core.dc || s.probing || !d.core.home(v, s) || !usable(v, s, "", nil) {
 				continue
 			}
 			if now.Sub(s.loadAt) < probeAge || now.Sub(s.probed) < pause {
