Name one entry per data centre of small deployments, and one of the next as second choice

Six were named so that each data centre had two; one of three of each would carry the traffic at a third of its processor.

Change: a tenth of the entries of a data centre is named, more where hosts are small as before. Callers get an entry of the data centre that follows by name as their second address, so that none gets more callers than another.

--- a/resolver/directory.go
+++ b/resolver/directory.go
@@ -1,7 +1,7 @@
 package resolver
 
 import (
-	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -16,10 +16,10 @@
 // ActivePart of the entries of a data centre are named to callers, unless they ask for more because their hosts are
 // small. Each then sees enough of the traffic to know the load of the servers from their answers; the others stand ready
 // and take over when one is lost.
-const ActivePart = 0.25
+const ActivePart = 0.1
 
 // minChoices is how many addresses an answer has at least, as long as there are so many: a caller that finds one of
-// them dead needs another one at once.
+// them dead needs another one at once. The further ones are in another data centre, so that few entries are named.
 const minChoices = 2
 
 // active lists the entries that callers are sent to: the first of each data centre by name, so that all control hosts
@@ -36,7 +36,7 @@
 	var list []string
 	for _, name := range names {
 		dc := places[name].dc
-		if taken[dc] < max(minChoices, int(math.Ceil(part[dc]*float64(total[dc])))) {
+		if taken[dc] < int(math.Ceil(part[dc]*float64(total[dc]))) {
 			taken[dc]++
 			list = append(list, name)
 		}
@@ -141,21 +141,24 @@
 	return active(names, places)
 }
 
-// Addresses returns where callers in the data centre should connect: to the entries there, and to others only when
-// these are too few.
+// Addresses returns where callers in the data centre should connect: to the entries there and, when these are too few,
+// to those of the data centres that follow by name. In this way each data centre helps out one other.
 func (d *Directory) Addresses(dc string) []string {
 	names, places := d.live(time.Now())
-	var near, far []string
+	byDC := make(map[string][]string)
 	for _, name := range active(names, places) {
-		if p := places[name]; p.dc == dc {
-			near = append(near, p.addr)
-		} else {
-			far = append(far, p.addr)
-		}
+		p := places[name]
+		byDC[p.dc] = append(byDC[p.dc], p.addr)
 	}
-	if len(near) < minChoices {
-		near = append(near, far...)
+	list := byDC[dc]
+	others := slices.DeleteFunc(slices.Sorted(maps.Keys(byDC)), func(name string) bool { return name == dc })
+	first, _ := slices.BinarySearch(others, dc)
+	for i := range others {
+		if len(list) >= minChoices {
+			break
+		}
+		list = append(list, byDC[others[(first+i)%len(others)]]...)
 	}
-	slices.SortFunc(near, cmp.Compare[string])
-	return near[:min(len(near), d.cfg.Max)]
+	slices.Sort(list)
+	return list[:min(len(list), d.cfg.Max)]
 }
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -38,10 +38,10 @@
 	// probeTick is how often the servers to probe are looked for, probeWait how long an answer may take.
 	probeTick = 30 * time.Millisecond
 	probeWait = 150 * time.Millisecond
-	// fullCPU and fullLink are the core share and the Mbit/s with which a quarter of the entries carries the traffic of
-	// the users' deployments: the hosts of the first two, and a tenth of the uploads of the grown ones at a link.
+	// fullCPU and fullLink are the core share and the Mbit/s with which resolver.ActivePart of the entries carries the
+	// traffic of the users' deployments: the hosts of the first two, and a tenth of the uploads of the grown ones at a link.
 	fullCPU  = 0.32
-	fullLink = 12
+	fullLink = 30
 	// presenceTick is how often the entry looks for a control host that does not know it yet.
 	presenceTick = 100 * time.Millisecond
 	// openCallers bounds the callers' connections, which share the descriptors of a small host with those to servers.
