Try a safe request elsewhere when its machine has become slow, while it can be in time

Cause: neighbours make a machine four times as slow within a request's run.

Change: from 1.1 medians before the aim on, the dispatcher is asked every 20 ms whether the server's machine is slow; if it is, the second attempt starts at once. Such attempts leave half of the retry budget to requests that failed. Tests: TestRequestOnASlowMachineIsHedgedWhileItCanBeInTime, TestBudgetKeepsAReserve.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -320,6 +320,15 @@
 	return counts
 }
 
+// Slow reports whether work on the server takes at least slowPace times as long as usual just now.
+func (d *Dispatcher) Slow(server string) bool {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.core.byID[server]
+	return s != nil && s.paceAt(now) >= slowPace
+}
+
 // Release implements sycamorevane.Limiter.
 func (d *Dispatcher) Release(g sycamorevane.Grant, o sycamorevane.Outcome) {
 	now := time.Now()
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -12,6 +12,8 @@
 	// paceLife is the time in which what a server said of its pace loses most of its worth: the load of a shared
 	// machine changes several times a second.
 	paceLife = 300 * time.Millisecond
+	// slowPace is the pace of a server whose requests are worth a second attempt elsewhere.
+	slowPace = 2.0
 	// memory is the time in which past latency and failures lose most of their worth, so that a server that was slow
 	// or failed gets requests again.
 	memory = 5 * time.Second
@@ -118,7 +120,7 @@
 	worth := fade(now.Sub(s.seen), memory)
 	cost := 1 + (s.ratio-1)*worth
 	cost *= 1 + failureCost*s.failing*worth
-	cost *= 1 + (s.pace-1)*fade(now.Sub(s.loadAt), paceLife)
+	cost *= s.paceAt(now)
 	cost *= 1 + busyCost*s.occupied(now, usual)/s.room()
 	if s.entry.Server.DC != dc {
 		cost *= distantCost
@@ -134,8 +136,12 @@
 
 // expected is how long a request should take on the server, for one that takes base on a machine without other load.
 func (s *server) expected(now time.Time, base time.Duration) time.Duration {
-	pace := 1 + (s.pace-1)*fade(now.Sub(s.loadAt), paceLife)
-	return time.Duration(pace * float64(base))
+	return time.Duration(s.paceAt(now) * float64(base))
+}
+
+// paceAt is how long work takes relative to the usual time, as far as what the server last said still holds.
+func (s *server) paceAt(now time.Time) float64 {
+	return 1 + (s.pace-1)*fade(now.Sub(s.loadAt), paceLife)
 }
 
 func (s *server) pausedAt(now time.Time) bool { return now.Before(s.pausedTil) }
--- a/forwarder/budget.go
+++ b/forwarder/budget.go
@@ -34,14 +34,14 @@
 	b.mu.Unlock()
 }
 
-// take reports whether a retry or hedge is allowed.
-func (b *budget) take(share float64) bool {
+// take reports whether a retry or hedge is allowed that leaves so many tokens to others.
+func (b *budget) take(share, reserve float64) bool {
 	if share <= 0 {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
+	if b.tokens < 1+reserve {
 		return false
 	}
 	b.tokens--
@@ -77,9 +77,14 @@
 	q.mu.Unlock()
 }
 
-// hedgeAfter is how long an attempt may stay without an answer before it is hedged.
-func (q *quantile) hedgeAfter() time.Duration {
+// get returns the estimate.
+func (q *quantile) get() time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return max(hedgeMin, time.Duration(q.value*float64(time.Second)))
+	return time.Duration(q.value * float64(time.Second))
+}
+
+// hedgeAfter is how long an attempt may stay without an answer before it is hedged.
+func (q *quantile) hedgeAfter() time.Duration {
+	return max(hedgeMin, q.get())
 }
--- a/forwarder/faults_test.go
+++ b/forwarder/faults_test.go
@@ -96,6 +96,18 @@
 	}
 }
 
+// after answers one request when the pause is over.
+func after(pause time.Duration, text string) func(*script, int, net.Conn) {
+	return func(s *script, _ int, c net.Conn) {
+		req, ok := s.read(bufio.NewReader(c))
+		if !ok {
+			return
+		}
+		time.Sleep(pause)
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", req.Header.Get("X-Request-Id")))
+	}
+}
+
 func silent(s *script, _ int, c net.Conn) {
 	s.read(bufio.NewReader(c))
 	_, _ = io.Copy(io.Discard, c)
@@ -248,6 +260,59 @@
 	assert.Less(t, time.Since(began), time.Second, "the hedge must not wait for the timeout")
 }
 
+// Guards against requests that stay on a machine that neighbours have made slow, until it is too late for another.
+func TestRequestOnASlowMachineIsHedgedWhileItCanBeInTime(t *testing.T) {
+	t.Parallel()
+	const aim, work = 400 * time.Millisecond, 40 * time.Millisecond
+	cases := map[string]struct {
+		slow   bool
+		method string
+		late   bool
+	}{
+		"slow":                        {true, "GET", false},
+		"not known to be slow":        {false, "GET", true},
+		"one that must not run twice": {true, "POST", true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first, stuck := newScript(t, after(2*aim, proved))
+			second, quick := newScript(t, after(work, proved))
+			r := newRig(t, withRules(func(cfg *Config, st *sycamorevane.State) {
+				cfg.Slow = func(server string) bool { return tc.slow && server == stuck.ID }
+				for i := range st.Config.Rules {
+					st.Config.Rules[i].Aim, st.Config.Rules[i].Timeout = aim, 5*time.Second
+				}
+				st.Config.Services[0].Retry = 1
+				st.Config.Rules[1].Prefix = "/"
+				if tc.method == "GET" {
+					st.Config.Rules = st.Config.Rules[:1]
+				} else {
+					st.Config.Rules = st.Config.Rules[1:]
+				}
+			}), stuck, quick)
+			r.f.service("flagboard").delay.value = 10 // Hedges without a reason would come after 10 s.
+			began := time.Now()
+			resp, _, err := r.do(tc.method, "/x", "", "X-Request-Id", "q1")
+			require.NoError(t, err)
+			assert.Equal(t, 200, resp.StatusCode)
+			assert.Equal(t, tc.late, time.Since(began) > aim)
+			assert.Equal(t, 1, first.count())
+			if tc.late {
+				assert.Zero(t, second.count())
+			}
+		})
+	}
+}
+
+// Guards against hedges that leave no budget to the retries of failed requests.
+func TestBudgetKeepsAReserve(t *testing.T) {
+	b := budget{tokens: 3}
+	require.True(t, b.take(0.1, 2))
+	require.False(t, b.take(0.1, 2))
+	require.True(t, b.take(0.1, 0))
+}
+
 // Guards against requests that fail after a refused connection or a restart, although nothing was sent.
 func TestRefusedAndRestartedServers(t *testing.T) {
 	backend, good := newBackend(t, faker.Behaviour{})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -75,6 +75,9 @@
 	Peers func() int
 	// RetryBurst bounds the retries that may follow each other on this entry without new requests; 0 for the default.
 	RetryBurst func() float64
+	// Slow reports whether work on a server takes much longer than usual just now, so that a second attempt elsewhere may
+	// overtake it; nil for never.
+	Slow func(server string) bool
 	// Observe receives the outcome of each attempt; nil ignores them.
 	Observe func(service, version, route string, o sycamorevane.Outcome)
 	Log     logr.Logger
--- a/forwarder/rulestate.go
+++ b/forwarder/rulestate.go
@@ -11,10 +11,15 @@
 type ruleState struct {
 	split *split
 	pace  *pace
+	// median is that of the latencies of good first attempts.
+	median *quantile
 }
 
 func newRuleState() *ruleState {
-	return &ruleState{split: &split{credit: make(map[string]float64)}, pace: &pace{}}
+	return &ruleState{
+		split: &split{credit: make(map[string]float64)}, pace: &pace{},
+		median: &quantile{value: medianStart.Seconds(), hedged: 0.5},
+	}
 }
 
 // split is a smooth weighted round robin, which keeps the shares also over few requests.
@@ -31,6 +36,8 @@
 }
 
 const (
+	// medianStart stands for the median of a rule that has had no answer yet; a few answers move it.
+	medianStart = 100 * time.Millisecond
 	// typicalWeight is the weight of one request in the time that callers typically name.
 	typicalWeight = 0.05
 	// againShare of the typical time or less is named by a caller that tries again; first attempts differ by a tenth.
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -19,6 +19,10 @@
 	maxRefused = 5
 	// hedgeWait is how long a hedge may wait for a free slot; a hedge that queues only adds load.
 	hedgeWait = 5 * time.Millisecond
+	// slowTick is how often the server of an attempt is looked at; its pace changes several times a second.
+	slowTick = 20 * time.Millisecond
+	// hedgeRoom is the time that a second attempt should have, in medians.
+	hedgeRoom = 1.1
 	// hedgeAgain is the wait after a hedge that found no slot or no budget. Without another try, a request on a
 	// connection that went silent would wait for its whole deadline.
 	hedgeAgain = 100 * time.Millisecond
@@ -89,7 +93,7 @@
 	if !res.sent && res.kind != sycamorevane.OutcomeShed {
 		return refused < maxRefused
 	}
-	if c.attempts >= c.maxAttempts() || !c.kept.budget.take(c.svc.Retry) {
+	if c.attempts >= c.maxAttempts() || !c.kept.budget.take(c.svc.Retry, 0) {
 		return false
 	}
 	c.f.counts.retries.Inc(1)
@@ -178,11 +182,19 @@
 // timed lets the latency of a good first attempt set the time of the next hedge.
 func (c *call) timed(res *result) *result {
 	if res.good() {
-		c.kept.delay.add(res.latency)
+		c.observe(res.latency)
 	}
 	return res
 }
 
+// observe takes the latency of a first attempt into account.
+func (c *call) observe(latency time.Duration) {
+	c.kept.delay.add(latency)
+	if c.rule != nil {
+		c.index.ruleStates[c.rule].median.add(latency)
+	}
+}
+
 // hedge is a second attempt that starts while the first is still without an answer.
 type hedge struct {
 	c           *call
@@ -195,14 +207,55 @@
 	ended chan struct{}
 	// won is set by the attempt whose answer is used.
 	won atomic.Bool
+	// server runs the first attempt; at is when a hedge is sent in any case.
+	server string
+	at     time.Time
+	// reserve is how many retries a hedge leaves to others.
+	reserve float64
 }
 
 // arm starts the timer when the first attempt has its server: a hedge of a request that still queues would
 // only queue beside it.
 func (h *hedge) arm(server string) {
 	h.avoid = append(slices.Clone(h.c.avoid), server)
+	h.server = server
+	delay := h.c.kept.delay.hedgeAfter()
+	now := time.Now()
+	h.at = now.Add(delay)
+	if early, ok := h.c.lastMoment(now); ok && early < delay {
+		delay = early
+	}
 	h.c.f.wg.Add(1)
-	h.timer = time.AfterFunc(h.c.kept.delay.hedgeAfter(), h.run)
+	h.timer = time.AfterFunc(delay, h.run)
+}
+
+// lastMoment is after which time another attempt would mostly come too late for the aim of the request.
+func (c *call) lastMoment(now time.Time) (time.Duration, bool) {
+	if c.f.cfg.Slow == nil || c.rule == nil || c.rule.Aim <= 0 {
+		return 0, false
+	}
+	left := c.began.Add(c.rule.Aim - c.waited).Sub(now)
+	median := c.index.ruleStates[c.rule].median.get()
+	early := left - time.Duration(hedgeRoom*float64(median))
+	return early, early > 0
+}
+
+// awaitReason returns when the first attempt should be hedged: when its server has become slow, or at the usual time. It
+// reports false when the attempt has ended before.
+func (h *hedge) awaitReason() bool {
+	for {
+		left := time.Until(h.at)
+		if left <= 0 {
+			return true
+		}
+		if h.c.f.cfg.Slow(h.server) {
+			h.reserve = h.c.f.cfg.RetryBurst() / 2
+			return true
+		}
+		if !h.pause(min(left, slowTick)) {
+			return false
+		}
+	}
 }
 
 // run starts from the timer.
@@ -215,12 +268,16 @@
 			h.done <- nil
 		}
 	}()
+	if !h.awaitReason() {
+		h.done <- nil
+		return
+	}
 	for {
 		if res, tried := h.second(); tried {
 			h.done <- res
 			return
 		}
-		if !h.pause() {
+		if !h.pause(hedgeAgain) {
 			h.done <- nil
 			return
 		}
@@ -228,8 +285,8 @@
 }
 
 // pause waits for the next try and reports whether a hedge is still wanted.
-func (h *hedge) pause() bool {
-	timer := time.NewTimer(hedgeAgain)
+func (h *hedge) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -242,7 +299,7 @@
 
 // second makes the hedged attempt. It reports false when there was no budget or no server was asked.
 func (h *hedge) second() (res *result, tried bool) {
-	if !h.c.kept.budget.take(h.c.svc.Retry) {
+	if !h.c.kept.budget.take(h.c.svc.Retry, h.reserve) {
 		return nil, false
 	}
 	ctx, cancel := context.WithCancel(h.parent)
@@ -280,7 +337,7 @@
 	h.c.attempts++
 	if second.good() {
 		c := h.c
-		c.kept.delay.add(time.Since(c.began)) // The first attempt took at least as long.
+		c.observe(time.Since(c.began)) // The first attempt took at least as long.
 		first.drop()
 		return second
 	}
