Send requests outside the home servers only just after those have told their load

Cause: once its home servers are full, an entry turned to servers that it had not heard for seconds. The estimate of their load fades, so that they looked idle, and an idle server takes a request in any case; so did all 42 entries at once.

Deployments with fewer entries are served as before.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -27,6 +27,9 @@
 	homeEntries = 3
 	// foreignCost makes such a server win unless it is twice as slow.
 	foreignCost = 2.0
+	// freshAge is how long the word of a server that is no home server holds. So many entries may send requests to it that
+	// what it said before is worth nothing.
+	freshAge = 150 * time.Millisecond
 	// silentCost keeps requests off servers that control has not heard, as long as others can take them.
 	silentCost = 20.0
 	// pausedCost does so for paused ones.
@@ -201,12 +204,16 @@
 			continue
 		}
 		got.full = true
+		outside := !c.home(v, s)
+		if outside && s.tells && v.now.Sub(s.loadAt) > freshAge {
+			continue
+		}
 		cold := isCold(v, s, svc)
 		if cold && !c.allowsCold(v, s, svc) || !s.free(v.now, usual, v.share.entries) || timely && s.expected(v.now, t.base) > left {
 			continue
 		}
 		cost := s.cost(v.now, usual, c.dc, cold) * (1 + jitter*c.rand.Float64())
-		if s.entry.Server.DC == c.dc && !c.home(v, s) {
+		if outside && s.entry.Server.DC == c.dc {
 			cost *= foreignCost
 		}
 		if s.entry.Silent {
@@ -270,14 +277,17 @@
 	return ok && v.now.Sub(since) < svc.Cold && s.entry.Heard.Before(since)
 }
 
-// home reports whether a server of the own data centre is one of those that this entry sends most of its requests to, and
-// asks for their load. With many entries each would otherwise see so little of every server that it knows none. Names of
+// home reports whether a server is one of those that this entry sends most of its requests to, and asks for their load;
+// with few entries all are. With many each would otherwise see so little of every server that it knows none. Names of
 // entries are addresses, so that those of a data centre mostly follow each other and have different remainders.
 func (c *core) home(v *view, s *server) bool {
 	n := v.nearEntries()
 	if n <= homeEntries {
 		return true
 	}
+	if s.entry.Server.DC != c.dc {
+		return false
+	}
 	offset := (v.share.rank%n + n - int(xxhash.Sum64String(s.entry.Server.ID)%uint64(n))) % n
 	return offset < homeEntries
 }
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -166,6 +166,48 @@
 	})
 }
 
+// Guards against a server that gets a request of each of many entries at the same moment, since it told each of them long
+// ago that it was idle.
+func TestServerOutsideIsUsedJustAfterItsWord(t *testing.T) {
+	const perDC, dcs = 12, 3
+	st := newState()
+	st.Config.DCs = []string{"a", "b", "c"}
+	for name, dc := range map[string]string{"of the own data centre": "a", "of another one": "b"} {
+		t.Run(name, func(t *testing.T) {
+			d := newTestDispatcher(st, entry("x", dc, "v1"))
+			rank := 0
+			d.cfg.Share = func() (int, int) { return rank, perDC * dcs }
+			s := d.core.byID["x"]
+			s.tells = true
+			for d.core.home(d.view(start), s) {
+				rank++
+			}
+			now := time.Now()
+			s.report(now, &sycamorevane.Load{Slots: 4, Pace: 1})
+			require.NotNil(t, d.core.pick(d.view(now), ask()).server)
+			v := d.view(now.Add(2 * freshAge))
+			got := d.core.pick(v, ask())
+			require.Nil(t, got.server)
+			require.True(t, got.full, "the request waits until the server has been asked")
+
+			d.core.pool("s").asked = v.now
+			require.Empty(t, d.Probes(v.now), "nobody waits")
+			d.queue["s"] = []*waiter{{ask: ask()}}
+			n := 0
+			for ms := 0; ms < 10_000; ms += 5 {
+				at := v.now.Add(time.Duration(ms) * time.Millisecond)
+				d.core.pool("s").asked = at
+				if len(d.Probes(at)) > 0 {
+					n++
+					d.Probed(at, "x", ProbeResult{Answered: true, Load: &sycamorevane.Load{Slots: 4}, Cold: -1})
+				}
+			}
+			require.Positive(t, n)
+			require.LessOrEqual(t, float64(n*perDC*dcs)/10, float64(outsideRate), "over all entries")
+		})
+	}
+}
+
 // Guards against entries that all take the same room, because each has heard of it from the same answers.
 func TestRoomIsKeptForOtherEntries(t *testing.T) {
 	const entries = 6
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -227,7 +227,7 @@
 	return true
 }
 
-// bucket spreads the requests of a cold server.
+// bucket spreads what has a bounded rate, such as the requests of a cold server.
 type bucket struct {
 	tokens float64
 	filled time.Time
--- a/modeler/open_test.go
+++ b/modeler/open_test.go
@@ -50,6 +50,24 @@
 	require.Zero(t, play(t, o).OverKnee)
 }
 
+// Guards against many entries that all send requests to the same servers once their own ones are full: the servers then
+// work through long queues of requests that are late.
+func TestOpenManyEntriesUnderOverload(t *testing.T) {
+	goodput := make(map[float64]float64)
+	for _, load := range []float64{0.7, 1, 1.5} {
+		o := lookups(120)
+		o.DCs, o.Entries = 3, 42
+		for i := range o.Kinds {
+			k := &o.Kinds[i]
+			k.Work, k.Aim, k.Deadline = 4*k.Work, 4*k.Aim, 3*k.Deadline
+		}
+		o.Load(load)
+		goodput[load] = load * play(t, o).Worth
+	}
+	require.Greater(t, goodput[1], 0.9*goodput[0.7])
+	require.Greater(t, goodput[1.5], 0.9*max(goodput[0.7], goodput[1]))
+}
+
 // Guards against a deployment that does less, the more is asked of it.
 func TestOpenGoodputUnderOverload(t *testing.T) {
 	goodput := make(map[float64]float64)
