--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -22,14 +22,15 @@
 	usualWeight = 0.1
 	// jitter spreads the choices of entries that know the same of the servers.
 	jitter = 0.15
-	// homeEntries is how many entries of a data centre keep themselves informed about a server of it. More of them know
-	// less each; with fewer, an entry has too few servers to choose from.
+	// homeEntries is how many entries of a data centre keep themselves informed about a server of it, which is a home
+	// server of theirs and a foreign one to others. More of them know less each; with fewer, an entry has too few servers
+	// to choose from.
 	homeEntries = 3
-	// foreignCost makes such a server win unless it is twice as slow.
+	// foreignCost makes a home server win unless it is twice as slow.
 	foreignCost = 2.0
-	// freshAge is how long the word of a server that is no home server holds. So many entries may send requests to it that
-	// what it said before is worth nothing.
-	freshAge = 150 * time.Millisecond
+	// foreignAge is how old a foreign server's last report of its load may be. Many entries may have sent requests to it
+	// since an older one.
+	foreignAge = 150 * time.Millisecond
 	// silentCost keeps requests off servers that control has not heard, as long as others can take them.
 	silentCost = 20.0
 	// pausedCost does so for paused ones.
@@ -204,8 +205,8 @@
 			continue
 		}
 		got.full = true
-		outside := !c.home(v, s)
-		if outside && s.tells && v.now.Sub(s.loadAt) > freshAge {
+		foreign := !c.home(v, s)
+		if foreign && s.tells && v.now.Sub(s.loadAt) > foreignAge {
 			continue
 		}
 		cold := isCold(v, s, svc)
@@ -213,7 +214,7 @@
 			continue
 		}
 		cost := s.cost(v.now, usual, c.dc, cold) * (1 + jitter*c.rand.Float64())
-		if outside && s.entry.Server.DC == c.dc {
+		if foreign && s.entry.Server.DC == c.dc {
 			cost *= foreignCost
 		}
 		if s.entry.Silent {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -71,8 +71,8 @@
 	queue   map[string][]*waiter
 	// returned is since when a data centre is back, known the DrainedDCs and Returned of the last state.
 	returned map[string]time.Time
-	// outside spreads the probes of servers that are not home servers.
-	outside bucket
+	// foreign spreads the probes of foreign servers.
+	foreign bucket
 	// explained is when full servers were last described.
 	explained time.Time
 	paused    tally.Counter
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -166,9 +166,9 @@
 	})
 }
 
-// Guards against a server that gets a request of each of many entries at the same moment, since it told each of them long
+// Guards against a server that gets a request from each of many entries at the same moment, since it told each of them long
 // ago that it was idle.
-func TestServerOutsideIsUsedJustAfterItsWord(t *testing.T) {
+func TestForeignServerIsUsedJustAfterItsReport(t *testing.T) {
 	const perDC, dcs = 12, 3
 	st := newState()
 	st.Config.DCs = []string{"a", "b", "c"}
@@ -185,7 +185,7 @@
 			now := time.Now()
 			s.report(now, &sycamorevane.Load{Slots: 4, Pace: 1})
 			require.NotNil(t, d.core.pick(d.view(now), ask()).server)
-			v := d.view(now.Add(2 * freshAge))
+			v := d.view(now.Add(2 * foreignAge))
 			got := d.core.pick(v, ask())
 			require.Nil(t, got.server)
 			require.True(t, got.full, "the request waits until the server has been asked")
@@ -203,7 +203,7 @@
 				}
 			}
 			require.Positive(t, n)
-			require.LessOrEqual(t, float64(n*perDC*dcs)/10, float64(outsideRate), "over all entries")
+			require.LessOrEqual(t, float64(n*perDC*dcs)/10, float64(foreignRate), "over all entries")
 		})
 	}
 }
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -12,8 +12,8 @@
 	probeAge = 120 * time.Millisecond
 	// probeRate bounds the probes of a server per second over all entries, far below the 60 that the users allow.
 	probeRate = 16
-	// outsideRate bounds the further probes of a server per second over all entries.
-	outsideRate = 16
+	// foreignRate bounds the probes of a server per second by entries to which it is foreign, over all of them.
+	foreignRate = 16
 	// probeTime is how long a service is watched after its last request on this entry.
 	probeTime = time.Second
 	// probeMisses is how many probes in a row without an answer pause a server.
@@ -70,7 +70,7 @@
 			list = append(list, Probe{Server: withConns(s.entry.Server, svc), Path: svc.Health})
 		}
 		if len(d.queue[service]) > 0 {
-			if probe, ok := d.probeOutside(v, p, svc); ok {
+			if probe, ok := d.probeForeign(v, p, svc); ok {
 				list = append(list, probe)
 			}
 		}
@@ -78,16 +78,16 @@
 	return list
 }
 
-// probeOutside asks a server that is no home server while requests wait, since such a server gets requests only just after
-// it has told its load.
-func (d *Dispatcher) probeOutside(v *view, p *pool, svc *sycamorevane.Service) (Probe, bool) {
+// probeForeign picks a foreign server to ask while requests wait, since such a server gets requests only just after it has
+// reported its load.
+func (d *Dispatcher) probeForeign(v *view, p *pool, svc *sycamorevane.Service) (Probe, bool) {
 	for _, i := range d.core.rand.Perm(len(p.servers)) {
 		s := p.servers[i]
-		if s.probing || d.core.home(v, s) || !usable(v, s, "", nil) || v.now.Sub(s.loadAt) < freshAge || s.pausedAt(v.now) {
+		if s.probing || d.core.home(v, s) || !usable(v, s, "", nil) || v.now.Sub(s.loadAt) < foreignAge || s.pausedAt(v.now) {
 			continue
 		}
-		rate := float64(outsideRate*len(p.servers)) / float64(max(1, v.share.entries))
-		if !d.outside.take(v.now, rate) {
+		rate := float64(foreignRate*len(p.servers)) / float64(max(1, v.share.entries))
+		if !d.foreign.take(v.now, rate) {
 			break
 		}
 		s.probed, s.probing = v.now, true
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -29,9 +29,9 @@
 	coldCost = 2.0
 	// failureCost weighs the share of failed answers.
 	failureCost = 6.0
-	// doubtShare is the part of a server's room that is kept for requests of other entries, of which its answers have not
-	// told yet.
-	doubtShare = 0.7
+	// unreportedShare is the part of a server's room that is kept for requests of other entries that it has not reported
+	// yet.
+	unreportedShare = 0.7
 	// overdue is how many times the usual latency a running request may take before its server counts as stuck.
 	overdue = 2.5
 	// latencyWeight, failureWeight and othersWeight are the weights of one observation.
@@ -101,18 +101,18 @@
 	if s.loadAt.IsZero() && s.tells {
 		return len(s.started) == 0 // Other entries may have found it at the same moment.
 	}
-	return s.occupied(now, usual)+s.doubt(now, usual, entries)+0.5 < s.room()
+	return s.occupied(now, usual)+s.unreported(now, usual, entries)+0.5 < s.room()
 }
 
-// doubt is the room that other entries may have taken since the server last told its load. Without it all entries take
+// unreported is the room that other entries may have taken since the server last reported its load. Without it all entries take
 // the same room at the same moment, and the server works above its knee.
-func (s *server) doubt(now time.Time, usual time.Duration, entries int) float64 {
+func (s *server) unreported(now time.Time, usual time.Duration, entries int) float64 {
 	if !s.tells || entries < 2 {
 		return 0
 	}
 	age := now.Sub(s.loadAt).Seconds() / max(usual, 50*time.Millisecond).Seconds()
 	others := 1 - 1/float64(entries)
-	return min(doubtShare*others*min(1, age)*s.room(), s.room()-1) // An idle server takes a request in any case.
+	return min(unreportedShare*others*min(1, age)*s.room(), s.room()-1) // An idle server takes a request in any case.
 }
 
 // cost is the expected time of a request on the server relative to the usual one.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -257,7 +257,7 @@
 		return c.refused("deadline has passed", retryAfter)
 	}
 	if c.rule != nil {
-		c.waited = c.index.ruleStates[c.rule].pace.elapsed(time.Duration(min(ms, maxTimeout.Milliseconds())) * time.Millisecond)
+		c.waited = c.index.ruleStates[c.rule].allowance.elapsed(time.Duration(min(ms, maxTimeout.Milliseconds())) * time.Millisecond)
 	}
 	wanted := c.began.Add(min(maxTimeout, time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond))
 	if c.deadline.IsZero() || wanted.Before(c.deadline) {
--- a/forwarder/index.go
+++ b/forwarder/index.go
@@ -102,7 +102,7 @@
 		}
 		kept := x.ruleStates[old]
 		if !slices.Equal(old.Parts, r.Parts) {
-			return &ruleState{split: fresh.split, pace: kept.pace, median: kept.median}
+			return &ruleState{split: fresh.split, allowance: kept.allowance, median: kept.median}
 		}
 		return kept
 	}
--- a/forwarder/rules_test.go
+++ b/forwarder/rules_test.go
@@ -79,7 +79,7 @@
 
 // Guards against the view that most callers try again because they allow slightly different times.
 func TestElapsedTimeOfACaller(t *testing.T) {
-	tested := newRuleState().pace
+	tested := newRuleState().allowance
 	for i := range 200 {
 		require.Zero(t, tested.elapsed(time.Duration(1700+i%300)*time.Millisecond))
 	}
@@ -105,20 +105,20 @@
 		x := f.current()
 		return x.ruleStates[x.rule("h.test", "/")]
 	}
-	current().pace.elapsed(2 * time.Second)
+	current().allowance.elapsed(2 * time.Second)
 	counts := make(map[string]int)
 	for n := range 200 {
 		st = rules(90, 10)
 		counts[current().split.next(st.Config.Rules[0].Parts)]++
 		require.InDelta(t, 0.1*float64(n+1), counts["b"], 1)
 	}
-	require.InDelta(t, time.Second, current().pace.elapsed(time.Second), float64(10*time.Millisecond))
+	require.InDelta(t, time.Second, current().allowance.elapsed(time.Second), float64(10*time.Millisecond))
 
 	t.Run("other weights begin a new split", func(t *testing.T) {
 		old := current()
 		st = rules(0, 10)
 		require.NotSame(t, old.split, current().split)
-		require.Same(t, old.pace, current().pace)
+		require.Same(t, old.allowance, current().allowance)
 		require.Equal(t, "b", current().split.next(st.Config.Rules[0].Parts))
 	})
 	t.Run("a rule that was gone begins anew", func(t *testing.T) {
@@ -126,7 +126,7 @@
 		st = &sycamorevane.State{}
 		f.current()
 		st = rules(0, 10)
-		require.NotSame(t, old.pace, current().pace)
+		require.NotSame(t, old.allowance, current().allowance)
 	})
 }
 
--- a/forwarder/rulestate.go
+++ b/forwarder/rulestate.go
@@ -9,15 +9,15 @@
 
 // ruleState is what the forwarder keeps for one rule from request to request.
 type ruleState struct {
-	split *split
-	pace  *pace
+	split     *split
+	allowance *allowance
 	// median is that of the latencies of good first attempts.
 	median *quantile
 }
 
 func newRuleState() *ruleState {
 	return &ruleState{
-		split: &split{credit: make(map[string]float64)}, pace: &pace{},
+		split: &split{credit: make(map[string]float64)}, allowance: &allowance{},
 		median: &quantile{value: medianStart.Seconds(), hedged: 0.5},
 	}
 }
@@ -28,8 +28,8 @@
 	credit map[string]float64
 }
 
-// pace learns how much time the callers of a rule allow.
-type pace struct {
+// allowance learns how much time the callers of a rule allow.
+type allowance struct {
 	mu sync.Mutex
 	// typical is the smoothed time that callers name with a first attempt.
 	typical time.Duration
@@ -46,18 +46,18 @@
 
 // elapsed estimates how long the caller of a request has been waiting: callers of a rule allow about the same time, and
 // one that tries again names what is left.
-func (p *pace) elapsed(left time.Duration) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.typical == 0 {
-		p.typical = left
+func (a *allowance) elapsed(left time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.typical == 0 {
+		a.typical = left
 	}
-	if float64(left) < againShare*float64(p.typical) {
-		waited := p.typical - left
-		p.typical -= time.Duration(typicalWeight * typicalWeight * float64(waited)) // In case all callers have changed.
+	if float64(left) < againShare*float64(a.typical) {
+		waited := a.typical - left
+		a.typical -= time.Duration(typicalWeight * typicalWeight * float64(waited)) // In case all callers have changed.
 		return waited
 	}
-	p.typical += time.Duration(typicalWeight * float64(left-p.typical))
+	a.typical += time.Duration(typicalWeight * float64(left-a.typical))
 	return 0
 }
 
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -229,7 +229,8 @@
 	h.timer = time.AfterFunc(delay, h.run)
 }
 
-// lastMoment is after which time another attempt would mostly come too late for the aim of the request.
+// lastMoment returns after how long another attempt would mostly come too late for the aim of the request; false when it
+// would already, or when there is no aim.
 func (c *call) lastMoment(now time.Time) (time.Duration, bool) {
 	if c.f.cfg.Slow == nil || c.rule == nil || c.rule.Aim <= 0 {
 		return 0, false
