Hedge requests on slow machines also where an entry may send few retries at once

Cause: early second attempts leave half of the burst of retries to failed requests. Now they leave half of what is above one. Test: the case "slow, one of many entries" fails before.

--- a/forwarder/faults_test.go
+++ b/forwarder/faults_test.go
@@ -267,11 +267,13 @@
 	cases := map[string]struct {
 		slow   bool
 		method string
+		burst  float64
 		late   bool
 	}{
-		"slow":                        {true, "GET", false},
-		"not known to be slow":        {false, "GET", true},
-		"one that must not run twice": {true, "POST", true},
+		"slow":                        {true, "GET", 10, false},
+		"slow, one of many entries":   {true, "GET", 1.7, false},
+		"not known to be slow":        {false, "GET", 10, true},
+		"one that must not run twice": {true, "POST", 10, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -280,6 +282,7 @@
 			second, quick := newScript(t, after(work, proved))
 			r := newRig(t, withRules(func(cfg *Config, st *sycamorevane.State) {
 				cfg.Slow = func(server string) bool { return tc.slow && server == stuck.ID }
+				cfg.RetryBurst = func() float64 { return tc.burst }
 				for i := range st.Config.Rules {
 					st.Config.Rules[i].Aim, st.Config.Rules[i].Timeout = aim, 5*time.Second
 				}
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -250,7 +250,7 @@
 			return true
 		}
 		if h.c.f.cfg.Slow(h.server) {
-			h.reserve = h.c.f.cfg.RetryBurst() / 2
+			h.reserve = max(0, (h.c.f.cfg.RetryBurst()-1)/2)
 			return true
 		}
 		if !h.pause(min(left, slowTick)) {
