--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	$(TOOLBIN)/gofumpt -w $(SOURCES)
 
 # Every measurement with a target prints its figure for docs/RESULTS.md and fails when it misses the target.
-BENCHES = bench-modeler bench-promoter bench-forwarder bench-deduplicator bench-replicator bench-applier bench-system
+BENCHES = bench-modeler bench-open bench-promoter bench-forwarder bench-deduplicator bench-replicator bench-applier bench-system
 
 bench: build
 	@rm -f $(BENCHLOG); status=0; \
@@ -53,6 +53,9 @@
 bench-modeler:
 	GOMAXPROCS=3 PLOTS=$(CURDIR)/docs/plots $(GO) test -run '^$$' -bench . -benchtime 1x -timeout 175s ./modeler
 
+bench-open:
+	BENCH=1 $(GO) test -timeout 120s -count 1 -v -run TestOpenTargets ./modeler
+
 bench-promoter:
 	PROMOTER_SEEDS=100 $(GO) test -timeout 600s -count 1 -run TestTable -bench 'Observe|Summary' -benchtime 200ms -v ./promoter
 
--- /dev/null
+++ b/acceptor/fuzz_test.go
@@ -0,0 +1,104 @@
+package acceptor
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+)
+
+// seen describes a request with its body.
+func seen(r *http.Request) (string, error) {
+	body, err := io.ReadAll(r.Body)
+	return fmt.Sprintf("%s %s %s %q", r.Method, r.Host, r.RequestURI, body), err
+}
+
+// expected reads the requests in data one after the other, as far as they are whole.
+func expected(data []byte) []string {
+	var list []string
+	r := bufio.NewReader(bytes.NewReader(data))
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return list
+		}
+		text, err := seen(req)
+		if err != nil {
+			return list
+		}
+		list = append(list, text)
+	}
+}
+
+// Guards against a request that is made of bytes of another one, and against a connection that never ends.
+func FuzzConnection(f *testing.F) {
+	for _, text := range []string{
+		"GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+		"GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+		"GET /a HTTP/1.0\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	var mu sync.Mutex
+	var got []string
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(f, err)
+	s := New(Config{Log: logr.Discard(), Limits: func() Limits {
+		return Limits{HeaderBytes: 8 << 10, HeaderTime: 300 * time.Millisecond, Idle: 300 * time.Millisecond}
+	}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text, err := seen(r)
+		if err != nil {
+			return // It was not whole.
+		}
+		mu.Lock()
+		got = append(got, text)
+		mu.Unlock()
+		_, _ = io.WriteString(w, "ok")
+	})})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Serve(l)
+	}()
+	f.Cleanup(func() {
+		_ = s.Close()
+		<-ended
+	})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		mu.Lock()
+		got = nil
+		mu.Unlock()
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+		_, _ = c.Write(data) // The other side may have closed it already.
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, err = io.Copy(io.Discard, c)
+		var timeout net.Error
+		if e, ok := err.(net.Error); ok {
+			timeout = e
+		}
+		require.False(t, timeout != nil && timeout.Timeout(), "the connection does not end")
+		mu.Lock()
+		defer mu.Unlock()
+		want := expected(data)
+		require.LessOrEqual(t, len(got), len(want))
+		want = want[:len(got)]
+		slices.Sort(want)
+		slices.Sort(got)
+		require.True(t, slices.Equal(want, got), "want %q, got %q", want, got)
+	})
+}
--- a/modeler/modeler.go
+++ b/modeler/modeler.go
@@ -1,4 +1,5 @@
-// Package modeler runs the pure cores of the limiter in virtual time against simple servers, to compare policies.
+// Package modeler runs the pure cores of the limiter in virtual time against simple servers, to compare policies, and the
+// dispatchers of open deployments against servers with noisy neighbours (RunOpen).
 // It is a benchmark of the policy, not a simulator of a cluster: hosts, sockets and processes do not appear in it.
 package modeler
 
--- a/parser/open_test.go
+++ b/parser/open_test.go
@@ -1,6 +1,7 @@
 package parser
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -73,3 +74,21 @@
 		})
 	}
 }
+
+// Guards against settings that pass the check and cannot be used, and against a panic of the check.
+func FuzzParseOpen(f *testing.F) {
+	f.Add([]byte(openControl))
+	f.Add([]byte("[host]\nports = 1,2\naddress = ::1\n[cluster]\nseeds = x\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := ParseOpen("f.ini", data)
+		if err != nil {
+			require.Nil(t, s)
+			return
+		}
+		require.True(t, s.Entry != nil || s.Control != nil)
+		require.Contains(t, s.DCs, s.DC)
+		_, _, err = net.SplitHostPort(s.Mesh())
+		require.NoError(t, err)
+		require.Len(t, s.SeedMeshes(), len(s.Seeds))
+	})
+}
