Hand the lead over when a leader hears nobody any more

Change: a leader that hears nobody any more asks the voter with the longest log to take over as it steps down. Test: TestOrdersAfterALostLeader fails before for that case.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -383,6 +383,9 @@
 	heard := func(n string) bool { return n == c.self || c.peers[n].heard < electionTicks }
 	intact := func(n string) bool { return n == c.self || heard(n) && !c.peers[n].recovering }
 	if !c.quorum(intact) && !c.all(heard) {
+		if alone := c.all(func(n string) bool { return n == c.self || !heard(n) }); alone {
+			c.handOverUnheard()
+		}
 		c.follow("")
 		return
 	}
--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -52,6 +52,53 @@
 	}
 }
 
+// Guards against a core that takes no orders for more than 1.5 s after it has lost its leader, whichever way, with the
+// time of a slow disk on each host and one round trip for the first order.
+func TestOrdersAfterALostLeader(t *testing.T) {
+	const bound, syncs = 1500 * time.Millisecond, 4 * 5 * time.Millisecond
+	losses := map[string]func(s *sim, h *host){
+		"killed":          func(_ *sim, h *host) { h.core = nil },
+		"frozen":          func(s *sim, h *host) { s.isolate(h.name, true, true) },
+		"not heard":       func(s *sim, h *host) { s.isolate(h.name, false, true) },
+		"cut off one way": func(s *sim, h *host) { s.isolate(h.name, true, false) },
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			var times []time.Duration
+			for seed := range uint64(100) {
+				s := newSim(5, seed, chances{}, rules{})
+				old, _ := s.elected(t)
+				s.rounds(30)
+				lose(s, old)
+				n := 0
+				for next := old; next == old || next == nil; n++ {
+					require.Less(t, n, 200)
+					s.rounds(1)
+					next = s.ordersAt(old)
+				}
+				times = append(times, time.Duration(n)*TickInterval+syncs)
+			}
+			slices.Sort(times)
+			t.Logf("median %v, p99 %v, longest %v", times[len(times)/2], times[len(times)*99/100], times[len(times)-1])
+			require.LessOrEqual(t, times[len(times)*99/100], bound)
+		})
+	}
+}
+
+// ordersAt returns a leader other than old that has committed an entry of its own term, or nil.
+func (s *sim) ordersAt(old *host) *host {
+	for _, name := range s.names {
+		h := s.hosts[name]
+		if h == old || h.core == nil || h.core.role != leader {
+			continue
+		}
+		if term, ok := h.core.log.term(h.core.commit); ok && term == h.core.hard.Term {
+			return h
+		}
+	}
+	return nil
+}
+
 // Guards against an election timeout in which no command is accepted when a leader is stopped on purpose.
 func TestHandOver(t *testing.T) {
 	for seed := range uint64(50) {
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -129,6 +129,21 @@
 	}
 }
 
+// handOverUnheard asks a voter to take over although nobody is heard. Where only the way to this host is cut, the others
+// still hear it, and would wait for an election timeout from its last heartbeat on.
+func (c *core) handOverUnheard() {
+	best := ""
+	for _, m := range c.log.members() {
+		p := c.peers[m.Name]
+		if m.Voter && p != nil && !p.recovering && (best == "" || p.match > c.peers[best].match) {
+			best = m.Name
+		}
+	}
+	if best != "" {
+		c.send(best, &encoder.Consensus{Kind: encoder.Consensus_ELECT})
+	}
+}
+
 // handOver asks the voter with the most complete log to take over. Proposals are refused until the next heartbeat,
 // after which the attempt is given up.
 func (c *core) handOver() {
