Gather what entries are told once for each push

Cause: for each entry of a push the leader listed all live entries, sorted them and chose those that are named: 61 us for 84 entries, which is 5 ms a push, on a core that the users' control hosts have a quarter of, and a push follows each server that leaves. Now it is done once; only the rank is looked up for each entry. What entries are told is the same.

--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -40,8 +40,9 @@
 	Read func(context.Context) error
 	// Entries lists the entries to push to; nil for those of the configuration.
 	Entries func() []string
-	// Complete, when set, adds what else an entry is told with each push.
-	Complete func(m *encoder.StatePush, entry string)
+	// Complete, when set, is called once for each push to all entries, and what it returns for each of them: it adds what
+	// else an entry is told.
+	Complete func() func(m *encoder.StatePush, entry string)
 	// First returns whether a state may be handed to entries; nil for one with services.
 	First func(st *sycamorevane.State) bool
 	Log   logr.Logger
@@ -75,7 +76,7 @@
 		cfg.Entries = func() []string { return cfg.State().Config.HostsWith(sycamorevane.RoleEntry) }
 	}
 	if cfg.Complete == nil {
-		cfg.Complete = func(*encoder.StatePush, string) {}
+		cfg.Complete = func() func(*encoder.StatePush, string) { return func(*encoder.StatePush, string) {} }
 	}
 	if cfg.First == nil {
 		cfg.First = func(st *sycamorevane.State) bool { return len(st.Config.Services) > 0 }
@@ -156,12 +157,13 @@
 		return
 	}
 	acks := p.Acks()
+	complete := p.cfg.Complete()
 	for _, name := range p.cfg.Entries() {
 		m := &encoder.StatePush{Version: st.Version, Term: term, Leader: p.cfg.Transport.Self()}
 		if a, ok := acks[name]; ok && a.Version < st.Version {
 			m.State = p.encode(st)
 		}
-		p.cfg.Complete(m, name)
+		complete(m, name)
 		_ = p.cfg.Transport.Send(name, m) // An entry without a session asks when it comes back.
 	}
 }
@@ -208,7 +210,7 @@
 	if ask.Have < st.Version {
 		reply.State = p.encode(st)
 	}
-	p.cfg.Complete(reply, from)
+	p.cfg.Complete()(reply, from)
 	return reply
 }
 
--- a/runner/open_control.go
+++ b/runner/open_control.go
@@ -170,13 +170,17 @@
 	return names
 }
 
-// complete adds to a push what an entry cannot know by itself.
-func (c *openControl) complete(m *encoder.StatePush, entry string) {
-	rank, entries := c.dir.Share(c.dir.Names(), entry)
-	m.Members = c.members()
-	m.Rank, m.Entries = uint32(rank), uint32(entries)
+// complete adds to a push what an entry cannot know by itself. Only the rank differs from entry to entry.
+func (c *openControl) complete() func(m *encoder.StatePush, entry string) {
+	names, members := c.dir.Names(), c.members()
+	var epoch, revision uint64
 	if self, _ := c.leads(); self {
-		m.Epoch, m.Revision = c.keeper.Revision()
+		epoch, revision = c.keeper.Revision()
+	}
+	return func(m *encoder.StatePush, entry string) {
+		rank, entries := c.dir.Share(names, entry)
+		m.Rank, m.Entries = uint32(rank), uint32(entries)
+		m.Members, m.Epoch, m.Revision = members, epoch, revision
 	}
 }
 
