Simplify after another read: one piece where two stood, and nothing computed twice

- dispatcher: a server's hash is computed once, not for each server of each choice; one offset serves home and cold servers.
- forwarder: a call keeps its rule's state and tells its aim, in place of four look-ups and three computations of it; probes and requests share the number of entries that share connections.
- acceptor: Shutdown and Close share how accepting stops. cataloger: what is to be kept is one function, without the flag.
- runner: one translation of a rollout step for both kinds of control. promoter: one choice of the side of a cell.
- administrator: a condition without its second half. modeler: a burst that nothing played is gone.
Behaviour is the same; no test changed.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -92,18 +92,23 @@
 	})
 }
 
-// Shutdown stops accepting, ends idle connections, and waits for running requests, whose answers close their
-// connections. Errors: the context's, with requests still running.
-func (s *Server) Shutdown(ctx context.Context) error {
+// stopAccepting closes the listeners and calls each for every connection.
+func (s *Server) stopAccepting(each func(*conn)) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.closing.Store(true)
 	for l := range s.listeners {
 		_ = l.Close()
 	}
 	for n := range s.conns {
-		n.wake()
+		each(n)
 	}
-	s.mu.Unlock()
+}
+
+// Shutdown stops accepting, ends idle connections, and waits for running requests, whose answers close their
+// connections. Errors: the context's, with requests still running.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopAccepting((*conn).wake)
 	ended := make(chan struct{})
 	go func() {
 		s.wg.Wait()
@@ -119,15 +124,7 @@
 
 // Close ends everything at once.
 func (s *Server) Close() error {
-	s.mu.Lock()
-	s.closing.Store(true)
-	for l := range s.listeners {
-		_ = l.Close()
-	}
-	for n := range s.conns {
-		n.end()
-	}
-	s.mu.Unlock()
+	s.stopAccepting((*conn).end)
 	s.wg.Wait()
 	return nil
 }
--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -122,7 +122,7 @@
 
 // Evacuate takes a data centre out, or back with out false. Errors: *InvalidError, *UnavailableError.
 func (a *Administrator) Evacuate(ctx context.Context, dc string, out bool) error {
-	if _, drained := a.cfg.State().DrainedDCs[dc]; drained == out && out {
+	if _, drained := a.cfg.State().DrainedDCs[dc]; drained && out {
 		return nil
 	}
 	op := applier.OpUndrain
--- a/cataloger/save.go
+++ b/cataloger/save.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -108,19 +109,7 @@
 			return
 		}
 		now := time.Now()
-		k.mu.Lock()
-		revision := k.catalog.Revision()
-		var list []Report
-		if revision != k.saved {
-			for _, r := range k.catalog.Since(0, now) {
-				if !r.Left && !r.Draining && !r.Silent {
-					list = append(list, r)
-				}
-			}
-		}
-		changed := revision != k.saved
-		k.saved = revision
-		k.mu.Unlock()
+		list, changed := k.unsaved(now)
 		if !changed {
 			continue
 		}
@@ -129,3 +118,15 @@
 		}
 	}
 }
+
+// unsaved lists the servers that take requests, and reports false when nothing has changed since it last did.
+func (k *Keeper) unsaved(now time.Time) ([]Report, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.saved == k.catalog.Revision() {
+		return nil, false
+	}
+	k.saved = k.catalog.Revision()
+	list := k.catalog.Since(0, now)
+	return slices.DeleteFunc(list, func(r Report) bool { return r.Left || r.Draining || r.Silent }), true
+}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"sycamorevane.example/sycamorevane"
 	"sycamorevane.example/sycamorevane/cataloger"
 )
@@ -289,8 +287,7 @@
 	if s.entry.Server.DC != c.dc {
 		return false
 	}
-	offset := (v.share.rank%n + n - int(xxhash.Sum64String(s.entry.Server.ID)%uint64(n))) % n
-	return offset < homeEntries
+	return s.offset(v.share.rank%n, n) < homeEntries
 }
 
 // nearEntries is how many entries a data centre has that callers are sent to.
@@ -315,9 +312,7 @@
 	if v.share.entries <= 0 || v.share.rank >= v.share.entries {
 		return false
 	}
-	n := uint64(v.share.entries)
-	offset := (uint64(v.share.rank) + n - xxhash.Sum64String(s.entry.Server.ID)%n) % n
-	if offset >= uint64(c.coldEntries(v, svc)) {
+	if s.offset(v.share.rank, v.share.entries) >= c.coldEntries(v, svc) {
 		return false
 	}
 	rate := c.coldRate(v, svc)
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sycamorevane.example/sycamorevane"
 	"sycamorevane.example/sycamorevane/cataloger"
 )
@@ -51,6 +53,8 @@
 // server is what this entry knows of one backend server.
 type server struct {
 	entry cataloger.Entry
+	// hash of the id spreads over the entries what few of them do for a server.
+	hash uint64
 	// started holds when each own running request was sent, by grant.
 	started map[uint64]time.Time
 	// others is how many requests of other entries the server had at its last answer, at loadAt.
@@ -76,8 +80,13 @@
 	probing bool
 }
 
+// offset is how far the entry with the rank comes after the one of n that the server's hash begins with.
+func (s *server) offset(rank, n int) int { return (rank + n - int(s.hash%uint64(n))) % n }
+
 func newServer(e cataloger.Entry) *server {
-	return &server{entry: e, started: make(map[uint64]time.Time), ratio: 1, pace: 1}
+	return &server{
+		entry: e, hash: xxhash.Sum64String(e.Server.ID), started: make(map[uint64]time.Time), ratio: 1, pace: 1,
+	}
 }
 
 // fade returns how much an observation is still worth after age.
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -91,17 +91,13 @@
 
 // explainLate logs what an answer that comes after its aim has waited for.
 func (c *call) explainLate(res *result) {
-	if c.rule == nil || c.rule.Aim <= 0 {
-		return
-	}
-	now := time.Now()
-	took := now.Sub(c.began)
-	if took+c.waited <= c.rule.Aim {
+	now, aim := time.Now(), c.aim()
+	if aim.IsZero() || !now.After(aim) {
 		return
 	}
 	pairs := []any{
 		"request", c.r.Header.Get(c.f.d.RequestID), "service", c.svc.Name, "route", c.route.Name, "status", res.resp.StatusCode,
-		"server", res.server.ID, "dc", res.server.DC, "attempts", c.attempts, "tried", c.avoid, "ms", took.Milliseconds(),
+		"server", res.server.ID, "dc", res.server.DC, "attempts", c.attempts, "tried", c.avoid, "ms", now.Sub(c.began).Milliseconds(),
 		"placedms", c.placed.Sub(c.began).Milliseconds(), "serverms", res.latency.Milliseconds(),
 		"waitedms", c.waited.Milliseconds(), "aimms", c.rule.Aim.Milliseconds(), "version", c.version(),
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -141,13 +141,10 @@
 	}
 	ask := sycamorevane.Ask{
 		Service: c.svc.Name, Firm: c.firm, Route: c.route.Name, Method: c.r.Method,
-		Idempotent: !c.once, Deadline: until, Avoid: avoid,
+		Idempotent: !c.once, Deadline: until, Avoid: avoid, Aim: c.aim(),
 	}
 	if c.rule != nil {
 		ask.Priority = c.rule.Priority
-		if c.rule.Aim > 0 {
-			ask.Aim = c.began.Add(c.rule.Aim - c.waited)
-		}
 	}
 	grant, err := c.acquire(ctx, ask, hedge)
 	if err != nil {
@@ -208,7 +205,7 @@
 	case !c.once:
 		age = maxIdle
 	}
-	p := c.f.pools.get(&a.grant.Server, c.sharers(), a.began)
+	p := c.f.pools.get(&a.grant.Server, c.f.sharers(c.index.entries), a.began)
 	conn, err := p.get(a.ctx, age, until)
 	if err != nil {
 		return a.unconnected(err)
@@ -227,12 +224,12 @@
 	return a.readBody(resp)
 }
 
-// sharers is the number of entries that share the connections of a server.
-func (c *call) sharers() int {
-	if c.f.cfg.Peers != nil {
-		return max(1, c.f.cfg.Peers())
+// sharers is the number of entries that share the connections of a server: configured, unless the deployment tells.
+func (f *Forwarder) sharers(configured int) int {
+	if f.cfg.Peers != nil {
+		return max(1, f.cfg.Peers())
 	}
-	return c.index.entries
+	return configured
 }
 
 func (a *attempt) unconnected(err error) *result {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -51,8 +51,10 @@
 	route sycamorevane.Route
 	// rule is nil where the service was selected by its own hosts and prefixes.
 	rule *sycamorevane.Rule
-	firm string
-	key  string
+	// ruleState is what is kept for the rule; nil without one.
+	ruleState *ruleState
+	firm      string
+	key       string
 	// once is set when the request must not run twice: it has a key or its route is not idempotent.
 	once bool
 	// open is the attempt whose answer is being passed on.
@@ -224,7 +226,8 @@
 func (c *call) selectService() {
 	path := c.r.URL.EscapedPath()
 	if c.rule = c.index.rule(c.r.Host, path); c.rule != nil {
-		c.svc = c.index.services[c.index.ruleStates[c.rule].split.next(c.rule.Parts)]
+		c.ruleState = c.index.ruleStates[c.rule]
+		c.svc = c.index.services[c.ruleState.split.next(c.rule.Parts)]
 		c.route = sycamorevane.Route{Name: c.rule.Name, Prefix: c.rule.Prefix, Idempotent: c.rule.Idempotent}
 		return
 	}
@@ -233,6 +236,14 @@
 	}
 }
 
+// aim is the time by which the answer has its full worth; zero when there is none.
+func (c *call) aim() time.Time {
+	if c.rule == nil || c.rule.Aim <= 0 {
+		return time.Time{}
+	}
+	return c.began.Add(c.rule.Aim - c.waited)
+}
+
 func (c *call) setDeadline() error {
 	c.timeout, c.progress = c.svc.Timeout, c.svc.Progress
 	if c.timeout <= 0 {
@@ -257,7 +268,7 @@
 		return c.refused("deadline has passed", retryAfter)
 	}
 	if c.rule != nil {
-		c.waited = c.index.ruleStates[c.rule].allowance.elapsed(time.Duration(min(ms, maxTimeout.Milliseconds())) * time.Millisecond)
+		c.waited = c.ruleState.allowance.elapsed(time.Duration(min(ms, maxTimeout.Milliseconds())) * time.Millisecond)
 	}
 	wanted := c.began.Add(min(maxTimeout, time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond))
 	if c.deadline.IsZero() || wanted.Before(c.deadline) {
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -18,11 +18,7 @@
 	if !ok {
 		return 0, nil, errors.New("a probe needs a deadline")
 	}
-	peers := 1
-	if f.cfg.Peers != nil {
-		peers = max(1, f.cfg.Peers())
-	}
-	conn, err := f.pools.get(&s, peers, time.Now()).get(ctx, maxIdle, deadline)
+	conn, err := f.pools.get(&s, f.sharers(1), time.Now()).get(ctx, maxIdle, deadline)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -190,8 +190,8 @@
 // observe takes the latency of a first attempt into account.
 func (c *call) observe(latency time.Duration) {
 	c.kept.delay.add(latency)
-	if c.rule != nil {
-		c.index.ruleStates[c.rule].median.add(latency)
+	if c.ruleState != nil {
+		c.ruleState.median.add(latency)
 	}
 }
 
@@ -232,12 +232,11 @@
 // lastMoment returns after how long another attempt would mostly come too late for the aim of the request; false when it
 // would already, or when there is no aim.
 func (c *call) lastMoment(now time.Time) (time.Duration, bool) {
-	if c.f.cfg.Slow == nil || c.rule == nil || c.rule.Aim <= 0 {
+	aim := c.aim()
+	if c.f.cfg.Slow == nil || aim.IsZero() {
 		return 0, false
 	}
-	left := c.began.Add(c.rule.Aim - c.waited).Sub(now)
-	median := c.index.ruleStates[c.rule].median.get()
-	early := left - time.Duration(hedgeRoom*float64(median))
+	early := aim.Sub(now) - time.Duration(hedgeRoom*float64(c.ruleState.median.get()))
 	return early, early > 0
 }
 
--- a/modeler/open.go
+++ b/modeler/open.go
@@ -42,8 +42,6 @@
 	Knee, KneeFactor float64
 	Noise            Noise
 	Kinds            []Kind
-	// Burst multiplies the rate between a third and a half of Length; 0 for none.
-	Burst float64
 	// Oracle has one entry that knows the load of all servers at all times: the central queue.
 	Oracle bool
 	// Warm is left out of the figures; Length is the measured time after it.
--- a/modeler/openworld.go
+++ b/modeler/openworld.go
@@ -141,11 +141,7 @@
 func (w *openWorld) arrive(k *Kind, r *rand.Rand) {
 	end := w.began.Add(w.Warm + w.Length)
 	for {
-		rate := k.Rate
-		if since := time.Since(w.began) - w.Warm; w.Burst > 0 && since > w.Length/3 && since < w.Length/2 {
-			rate *= w.Burst
-		}
-		time.Sleep(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+		time.Sleep(time.Duration(r.ExpFloat64() / k.Rate * float64(time.Second)))
 		now := time.Now()
 		if !now.Before(end) {
 			return
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -270,10 +270,7 @@
 
 // countErrors counts what the servers themselves answered: not what a full or lost server left undone.
 func (t *track) countErrors(l *encoder.EvidenceCell) {
-	side := 0
-	if l.GetTo() {
-		side = 1
-	}
+	side := sideOf(l)
 	for k, n := range l.GetCounts() {
 		switch sycamorevane.OutcomeKind(k) {
 		case sycamorevane.OutcomeFailed:
@@ -295,11 +292,16 @@
 	return rate >= plainRate && rate*t.answers[0] >= plainRatio*t.errors[0]
 }
 
-func (t *tally) count(l *encoder.EvidenceCell) {
-	side := 0
+// sideOf is 1 for what the new version has shown, else 0.
+func sideOf(l *encoder.EvidenceCell) int {
 	if l.GetTo() {
-		side = 1
+		return 1
 	}
+	return 0
+}
+
+func (t *tally) count(l *encoder.EvidenceCell) {
+	side := sideOf(l)
 	for k, n := range l.GetCounts() {
 		kind := sycamorevane.OutcomeKind(k)
 		switch {
--- a/runner/control.go
+++ b/runner/control.go
@@ -258,12 +258,16 @@
 func (c *control) submit(ctx context.Context, service string, step promoter.Step) error {
 	return c.propose(ctx, applier.Command{
 		Op: applier.OpStep, By: "promoter", At: processClock.Now().UnixMilli(),
-		Args: applier.Args{Service: service, Step: &applier.Step{
-			Rollout: step.ID, Was: step.Was, Phase: step.Phase, Share: step.Share, Reason: step.Reason, Late: step.Late,
-		}},
+		Args: stepArgs(service, step),
 	})
 }
 
+func stepArgs(service string, step promoter.Step) applier.Args {
+	return applier.Args{Service: service, Step: &applier.Step{
+		Rollout: step.ID, Was: step.Was, Phase: step.Phase, Share: step.Share, Reason: step.Reason, Late: step.Late,
+	}}
+}
+
 func (c *control) propose(ctx context.Context, cmd applier.Command) error {
 	data, err := applier.Encode(cmd)
 	if err != nil {
--- a/runner/open_control.go
+++ b/runner/open_control.go
@@ -333,9 +333,7 @@
 
 // submit records a rollout decision in the replicated log.
 func (c *openControl) submit(_ context.Context, service string, step promoter.Step) error {
-	return c.propose(applier.OpStep, applier.Args{Service: service, Step: &applier.Step{
-		Rollout: step.ID, Was: step.Was, Phase: step.Phase, Share: step.Share, Reason: step.Reason, Late: step.Late,
-	}})
+	return c.propose(applier.OpStep, stepArgs(service, step))
 }
 
 // groupLoop keeps this host in the control group and, on the leader, takes hosts out that are lost.
