End all starts of a server that leaves without naming its start

Where it was known, the start known to that one host was ended, which need not be the latest. Change: such an end ends all known starts and is recorded under the label with its time; starts born until then get no requests (State.Leaving).

--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -201,6 +201,12 @@
 	require.NoError(t, a.Leave(ctx, []string{"x", "y"}))
 	require.NoError(t, a.Leave(ctx, []string{"x"}))
 	require.Len(t, c.machine.State().DrainedServers, 2)
+	t.Run("a later record counts", func(t *testing.T) {
+		first := c.machine.State().DrainedServers["x"]
+		c.now = c.now.Add(time.Second)
+		require.NoError(t, a.Leave(ctx, []string{"x"}))
+		require.Equal(t, first+1000, c.machine.State().DrainedServers["x"])
+	})
 	data, err := c.machine.Snapshot()
 	require.NoError(t, err)
 	restored := applier.New()
--- a/applier/configure.go
+++ b/applier/configure.go
@@ -84,19 +84,20 @@
 	return ""
 }
 
-// leave records servers that are leaving. Above MaxDrained the command is refused and the server stays unacknowledged.
+// leave records servers that are leaving. A later record of a label ends later starts of that server. Above MaxDrained the command is refused and the server stays unacknowledged.
 func leave(s *sycamorevane.State, c Command) verdict {
 	if len(c.Args.Gone) == 0 {
 		return refuse("no server is named")
 	}
 	left := keep(s.DrainedServers, func(string) bool { return true })
+	news := false
 	for _, id := range c.Args.Gone {
-		if _, known := left[id]; !known {
-			left[id] = c.At
+		if at, known := left[id]; !known || at < c.At {
+			left[id], news = c.At, true
 		}
 	}
 	switch {
-	case len(left) == len(s.DrainedServers):
+	case !news:
 		return unchanged("all of the servers are recorded")
 	case len(left) > MaxDrained:
 		return refuse("%d servers are drained, which is the limit", MaxDrained)
--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -166,7 +166,7 @@
 func (c *Catalog) Since(revision uint64, now time.Time) []Report {
 	var list []Report
 	for _, e := range c.entries {
-		if e.revision > revision {
+		if e.revision > revision && e.Server.Addr != "" { // Ends without a start name no server.
 			list = append(list, e.report(now))
 		}
 	}
--- a/cataloger/keeper.go
+++ b/cataloger/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,33 +105,64 @@
 	if !k.cfg.Follows() {
 		return &UnavailableError{Reason: "no control leader is known"}
 	}
-	now := time.Now()
+	if !r.Left && !r.Draining {
+		k.take(r)
+		return nil
+	}
+	ids := k.ends(r)
+	for _, id := range ids {
+		end := r
+		end.Server.ID = id
+		k.take(end)
+	}
+	k.signal()
+	if !r.anyStart() && k.cfg.Left(r.Server.ID) {
+		return nil
+	}
+	err := k.cfg.Commit(ctx, ids)
+	k.cfg.Log.Info("server leaves", "server", r.Server.ID, "service", r.Server.Service, "left", r.Left,
+		"starts", len(ids), "committed", err == nil)
+	return errors.Trace(err)
+}
+
+// anyStart reports whether a server says that it has ended, but not which start of it that was.
+func (r *Report) anyStart() bool { return r.Left && r.Born == 0 }
+
+// ends lists the ids under which the end of a server is recorded. One that names no start ends those that this host
+// knows and, recorded under the label, those that it has not heard yet.
+func (k *Keeper) ends(r Report) []string {
+	ids := []string{r.Server.ID}
+	if !r.anyStart() {
+		return ids
+	}
 	k.mu.Lock()
-	if r.Left || r.Draining {
-		if known, ok := k.catalog.Get(r.Server.ID); ok && r.Server.Addr == "" {
-			r = merged(known, r)
+	defer k.mu.Unlock()
+	for id, e := range k.catalog.entries {
+		if e.Server.Label == r.Server.Label && id != r.Server.ID {
+			ids = append(ids, id)
 		}
 	}
-	_, known := k.catalog.Get(r.Server.ID)
-	if k.catalog.Merge(r, now) {
-		k.pending[r.Server.ID] = r
+	slices.Sort(ids[1:])
+	return ids
+}
+
+// take merges a report and has it passed on.
+func (k *Keeper) take(r Report) {
+	id := r.Server.ID
+	k.mu.Lock()
+	old, known := k.catalog.Get(id)
+	if known && r.Server.Addr == "" {
+		r = merged(old, r)
+	}
+	if k.catalog.Merge(r, time.Now()) {
+		k.pending[id] = r
 	}
-	_, taken := k.catalog.Get(r.Server.ID)
+	_, taken := k.catalog.Get(id)
 	k.mu.Unlock()
 	if !known {
-		k.cfg.Log.Info("server reported first", "server", r.Server.ID, "service", r.Server.Service, "addr", r.Server.Addr,
+		k.cfg.Log.Info("server reported first", "server", id, "service", r.Server.Service, "addr", r.Server.Addr,
 			"version", r.Server.Version, "born", r.Born, "sequence", r.Sequence, "taken", taken)
 	}
-	if !r.Left && !r.Draining {
-		return nil
-	}
-	k.signal()
-	if k.cfg.Left(r.Server.ID) {
-		return nil
-	}
-	err := k.cfg.Commit(ctx, []string{r.Server.ID})
-	k.cfg.Log.Info("server leaves", "server", r.Server.ID, "service", r.Server.Service, "left", r.Left, "committed", err == nil)
-	return errors.Trace(err)
 }
 
 // merged completes a report that names a server only by its id.
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -249,7 +249,7 @@
 	if e.Gone() || s.stale || version != "" && e.Server.Version != version {
 		return false
 	}
-	if _, left := v.state.DrainedServers[e.Server.ID]; left {
+	if v.state.Leaving(&e.Server, e.Born) {
 		return false
 	}
 	if _, out := v.state.DrainedDCs[e.Server.DC]; out {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -58,6 +58,10 @@
 		"leaving, as committed": func(v *view, _ *cataloger.Entry, _ *sycamorevane.Ask) {
 			v.state.DrainedServers = map[string]int64{"x": 1}
 		},
+		"leaving, by its label": func(v *view, e *cataloger.Entry, _ *sycamorevane.Ask) {
+			e.Server.Label, e.Born = "label", 1
+			v.state.DrainedServers = map[string]int64{"label": 1}
+		},
 		"data centre out":      func(v *view, _ *cataloger.Entry, _ *sycamorevane.Ask) { v.state.DrainedDCs = map[string]int64{"a": 1} },
 		"has failed it before": func(_ *view, _ *cataloger.Entry, a *sycamorevane.Ask) { a.Avoid = []string{"x"} },
 		"version not serving":  func(v *view, _ *cataloger.Entry, _ *sycamorevane.Ask) { v.state.Serving = map[string]string{"s": "v9"} },
--- a/types.go
+++ b/types.go
@@ -426,7 +426,8 @@
 	// Version is the log index of the last change; it never goes down.
 	Version uint64
 	Config  Config
-	// DrainedDCs and DrainedServers get no new work. The value is the Unix ms time of acceptance.
+	// DrainedDCs and DrainedServers get no new work. The value is the Unix ms time of acceptance. Servers are named by
+	// their ids, or by their labels alone; see Leaving.
 	DrainedDCs     map[string]int64
 	DrainedServers map[string]int64
 	// Returned holds data centres that came back, with the Unix ms time of acceptance; their share ramps.
@@ -438,6 +439,16 @@
 	Serving map[string]string
 }
 
+// Leaving reports whether the start of a server at born, in Unix ms, is recorded as leaving: by its id, or by its label
+// where its end did not say which start it was, which ends all starts until then.
+func (s *State) Leaving(srv *Server, born int64) bool {
+	if _, ok := s.DrainedServers[srv.ID]; ok {
+		return true
+	}
+	at, ok := s.DrainedServers[srv.Label]
+	return ok && born <= at
+}
+
 // Share returns the share of calls per version of the service. A nil map means that no version is preferred yet.
 func (s *State) Share(service string) map[string]float64 {
 	r, ok := s.Rollouts[service]
