--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -85,7 +85,7 @@
 		DC: o.cfg.Settings.DC, Bounds: dispatcher.Bounds{ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack},
 		Servers: e.catalog.All, State: e.sub.State, Blocked: e.collector.Blocked, Share: e.share,
 		Probe: func(p dispatcher.Probe) { go e.probe(p) },
-		Log: o.cfg.Log, Metrics: o.metrics,
+		Log:   o.cfg.Log, Metrics: o.metrics,
 	})
 	e.fwd = forwarder.New(forwarder.Config{
 		Self: o.cfg.Settings.Name, Limiter: e.place, State: e.sub.State, Dialect: o.cfg.Adapter.Dialect(),
