Do not wait for the answers of servers while these come too late

Change: while less than half of the answers come in time, requests are placed by what is known. "no room" is logged only where there is none. Test: TestRequestIsPlacedByAFreshReport/nor_does_anybody_wait_while_most_answers_come_too_late.

--- a/dispatcher/ask.go
+++ b/dispatcher/ask.go
@@ -21,6 +21,10 @@
 	// askRate bounds the questions to a server per second over all entries; with probeRate it stays below the 60 that
 	// the users allow.
 	askRate = 40
+	// timelyWeight is the weight of one answer in the part of the answers that come in time, timelyLeast the part from
+	// which requests wait for them. While this host is short of processor time, questions only make it slower.
+	timelyWeight = 0.05
+	timelyLeast  = 0.5
 )
 
 // draw is the version that a request goes to, for as long as the state stays the same: drawn anew while it waits, the
@@ -119,6 +123,23 @@
 	return found
 }
 
+// noteAnswer takes into account whether a question was answered in time.
+func (d *Dispatcher) noteAnswer(inTime bool) {
+	value := 0.0
+	if inTime {
+		value = 1
+	}
+	d.timely += timelyWeight * (value - d.timely)
+}
+
+// freshUntil is until when a request that comes now waits for fresh reports.
+func (d *Dispatcher) freshUntil(now time.Time) time.Time {
+	if d.cfg.Probe == nil || d.timely < timelyLeast {
+		return now
+	}
+	return now.Add(askWait)
+}
+
 // send asks the servers.
 func (d *Dispatcher) send(list []Probe) {
 	for _, p := range list {
--- a/dispatcher/ask_test.go
+++ b/dispatcher/ask_test.go
@@ -89,6 +89,26 @@
 		require.Equal(t, "x", g.Server.ID)
 		require.LessOrEqual(t, took, askWait+retryQueue)
 	})
+	run("nor does anybody wait while most answers come too late", func(t *testing.T) {
+		f := newFarm(newState(), 2*askWait, map[string]*sycamorevane.Load{"x": quiet()}, entry("x", "a", "v1"))
+		f.learn()
+		for range 20 {
+			time.Sleep(200 * time.Millisecond)
+			g, _ := f.acquire(t, sycamorevane.Ask{})
+			f.d.Release(g, sycamorevane.Outcome{Kind: sycamorevane.OutcomeCancelled, Route: "r"})
+		}
+		time.Sleep(200 * time.Millisecond)
+		_, took := f.acquire(t, sycamorevane.Ask{})
+		require.Zero(t, took)
+		f.delay = time.Millisecond
+		for range 20 {
+			f.d.send([]Probe{{Server: sycamorevane.Server{ID: "x"}}})
+			f.d.core.byID["x"].probed = time.Now()
+			time.Sleep(200 * time.Millisecond)
+		}
+		_, took = f.acquire(t, sycamorevane.Ask{})
+		require.Positive(t, took, "once they come in time again, requests wait for them")
+	})
 	run("where all are slow one is used", func(t *testing.T) {
 		f := newFarm(newState(), time.Millisecond, map[string]*sycamorevane.Load{"x": slow(), "y": slow()}, entry("x", "a", "v1"), entry("y", "a", "v1"))
 		f.learn()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -76,6 +76,8 @@
 	returned map[string]time.Time
 	// foreign spreads the probes of foreign servers.
 	foreign bucket
+	// timely is the smoothed part of the questions that servers answer in time.
+	timely float64
 	// explained is when full servers were last described.
 	explained time.Time
 	paused    tally.Counter
@@ -111,7 +113,7 @@
 	return &Dispatcher{
 		cfg: cfg, core: newCore(cfg.DC, cfg.Bounds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		started: time.Now(), queue: make(map[string][]*waiter), returned: make(map[string]time.Time),
-		paused: m.Counter("paused"), refused: m.Counter("refused"),
+		timely: 1, paused: m.Counter("paused"), refused: m.Counter("refused"),
 	}
 }
 
@@ -167,9 +169,8 @@
 		d.mu.Unlock()
 		return sycamorevane.Grant{}, d.refuse(&ask, "no configuration is in force", retryNone)
 	}
-	w := &waiter{ask: &ask, got: make(chan sycamorevane.Grant, 1), draw: d.core.draw(v, &ask)}
-	if d.cfg.Probe != nil {
-		w.freshUntil = now.Add(askWait)
+	w := &waiter{
+		ask: &ask, got: make(chan sycamorevane.Grant, 1), draw: d.core.draw(v, &ask), freshUntil: d.freshUntil(now),
 	}
 	got := choice{full: true}
 	if len(d.queue[ask.Service]) == 0 || ask.Hedge {
@@ -182,7 +183,9 @@
 	}
 	usual := d.core.pool(ask.Service).timesOf(ask.Route).usual
 	queued := len(d.queue[ask.Service])
-	d.explain(v, &ask)
+	if !got.stale {
+		d.explain(v, &ask)
+	}
 	reason := ""
 	switch {
 	case !got.full && now.Sub(d.started) > startTime:
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -104,6 +104,7 @@
 		d.mu.Unlock()
 		return
 	}
+	d.noteAnswer(r.Answered && now.Sub(s.probed) <= askWait)
 	d.probed(now, s, r)
 	list := d.serve(now, s.entry.Server.Service)
 	d.mu.Unlock()
