--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -43,7 +43,7 @@
 	// fullCPU and fullLink are the core share and the Mbit/s with which resolver.ActivePart of the entries carries the
 	// traffic of the users' deployments: the hosts of the first two, and a tenth of the uploads of the grown ones at a link.
 	fullCPU  = 0.32
-	fullLink = 30
+	fullLink = 60
 	// presenceTick is how often the entry looks for a control host that does not know it yet.
 	presenceTick = 100 * time.Millisecond
 	// openCallers bounds the callers' connections, which share the descriptors of a small host with those to servers.
