--- a/dispatcher/ask.go
+++ b/dispatcher/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 	// askRate bounds the questions to a server per second over all entries; with probeRate it stays below the 60 that
 	// the users allow.
 	askRate = 40
+	// quietTick is how often a server is looked at on which a request is to start, and quietGap how often it is asked.
+	quietTick = 5 * time.Millisecond
+	quietGap  = 40 * time.Millisecond
 	// timelyWeight is the weight of one answer in the part of the answers that come in time, timelyLeast the part from
 	// which requests wait for them. While this host is short of processor time, questions only make it slower.
 	timelyWeight = 0.05
@@ -146,3 +150,46 @@
 		d.cfg.Probe(p)
 	}
 }
+
+// AwaitQuiet returns when the server has just reported that its machine is not slow, at until, or when the context ends. It
+// does not wait for servers that do not tell their load, nor while answers come too late.
+func (d *Dispatcher) AwaitQuiet(ctx context.Context, server string, until time.Time) {
+	t := time.NewTicker(quietTick)
+	defer t.Stop()
+	for now := time.Now(); now.Before(until); {
+		quiet, list := d.quiet(now, server)
+		if quiet {
+			return
+		}
+		d.send(list)
+		select {
+		case now = <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// quiet reports whether a request may start on the server, and lists the server when it has to be asked.
+func (d *Dispatcher) quiet(now time.Time, server string) (bool, []Probe) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.core.byID[server]
+	if s == nil || !s.tells || d.cfg.Probe == nil || d.timely < timelyLeast {
+		return true, nil
+	}
+	age := now.Sub(s.loadAt)
+	if age <= askAge {
+		return s.pace < slowPace, nil
+	}
+	st := d.cfg.State()
+	svc := st.Config.Service(s.entry.Server.Service)
+	if svc == nil || svc.Health == "" {
+		return true, nil
+	}
+	if s.probing || now.Sub(s.probed) < quietGap {
+		return false, nil
+	}
+	s.probed, s.probing = now, true
+	return false, []Probe{{Server: withConns(s.entry.Server, svc), Path: svc.Health}}
+}
--- a/dispatcher/ask_test.go
+++ b/dispatcher/ask_test.go
@@ -191,3 +191,32 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against an upload that is held back without end, or for a machine that is quiet.
+func TestAwaitQuiet(t *testing.T) {
+	run := func(name string, loads map[string]*sycamorevane.Load, change func(f *farm), want time.Duration) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFarm(newState(), time.Millisecond, loads, entry("x", "a", "v1"))
+				f.learn()
+				time.Sleep(200 * time.Millisecond)
+				if change != nil {
+					change(f)
+				}
+				began := time.Now()
+				f.d.AwaitQuiet(context.Background(), "x", began.Add(300*time.Millisecond))
+				require.InDelta(t, want, time.Since(began), float64(quietGap+quietTick))
+			})
+		})
+	}
+	run("a quiet machine", map[string]*sycamorevane.Load{"x": quiet()}, nil, time.Millisecond)
+	run("one that stays slow", map[string]*sycamorevane.Load{"x": slow()}, nil, 300*time.Millisecond)
+	run("one that becomes quiet", map[string]*sycamorevane.Load{"x": slow()}, func(f *farm) {
+		time.AfterFunc(100*time.Millisecond, func() { f.loads["x"] = quiet() })
+	}, 100*time.Millisecond)
+	run("a server that does not tell its load", nil, nil, 0)
+	run("a server that has left", map[string]*sycamorevane.Load{"x": slow()}, func(f *farm) {
+		f.d.cfg.Servers = func() []cataloger.Entry { return nil }
+		f.d.Update()
+	}, 0)
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -27,6 +27,16 @@
 	lateAnswer = 500 * time.Millisecond
 	// maxInformational bounds the 1xx answers before the final one.
 	maxInformational = 5
+	// longBody is the size from which the end of a body is held back while the machine of its server is slow: how long a
+	// request takes is settled when it starts, which is when the server has the whole body.
+	longBody = 16 << 10
+	// quietAge is how old the choice of the server may be without that, and maxHold the longest wait; the load of a machine
+	// changes several times a second.
+	quietAge = 20 * time.Millisecond
+	maxHold  = 400 * time.Millisecond
+
+	bitsPerByte    = 8
+	bitsPerMegabit = 1e6
 	// maxShedBody bounds what is read of a not-run refusal to keep its connection.
 	maxShedBody = 16 << 10
 )
@@ -95,14 +105,24 @@
 	uploaded atomic.Int64
 }
 
-// bodyReader remembers that the caller's side failed.
+// bodyReader remembers that the caller's side failed, and can hold the last byte back.
 type bodyReader struct {
 	*spoolReader
 	failed atomic.Bool
+	// left is how many bytes are still to be read; settle, unless nil, is called before the last one.
+	left   int64
+	settle func()
 }
 
 func (b *bodyReader) Read(p []byte) (int, error) {
+	if b.settle != nil && b.left > 1 {
+		p = p[:min(int64(len(p)), b.left-1)]
+	}
 	n, err := b.spoolReader.Read(p)
+	b.left -= int64(n)
+	if b.settle != nil && b.left == 0 && n > 0 {
+		b.settle()
+	}
 	if err != nil && err != io.EOF && err != errStopped {
 		b.failed.Store(true)
 	}
@@ -260,7 +280,10 @@
 	if c.body == nil {
 		return
 	}
-	a.body = &bodyReader{spoolReader: c.body.reader()}
+	a.body = &bodyReader{spoolReader: c.body.reader(), left: c.body.length}
+	if c.f.cfg.AwaitQuiet != nil && c.body.length >= longBody {
+		a.body.settle = a.awaitQuiet
+	}
 	a.out.Body = a.body
 	a.out.ContentLength = c.body.length
 	if c.body.length < 0 {
@@ -268,6 +291,43 @@
 	}
 }
 
+// awaitQuiet waits until the machine of the server is not slow, as long as the answer can still be in time.
+func (a *attempt) awaitQuiet() {
+	aim := a.c.aim()
+	if aim.IsZero() {
+		return
+	}
+	until := aim.Add(-time.Duration(hedgeRoom * float64(a.c.ruleState.median.get())))
+	if !a.awaitSent(until) || time.Since(a.began) < quietAge {
+		return
+	}
+	if latest := time.Now().Add(maxHold); latest.Before(until) {
+		until = latest
+	}
+	a.c.f.cfg.AwaitQuiet(a.ctx, a.grant.Server.ID, until)
+}
+
+// awaitSent waits until what has been written of the body should have left this host, and reports whether that is before
+// until and the attempt goes on. The system takes more at once than the link does.
+func (a *attempt) awaitSent(until time.Time) bool {
+	if a.c.f.cfg.Link <= 0 {
+		return true
+	}
+	seconds := float64(a.c.body.length) * bitsPerByte / (a.c.f.cfg.Link * bitsPerMegabit)
+	sent := a.began.Add(time.Duration(seconds * float64(time.Second)))
+	if !sent.Before(until) {
+		return false
+	}
+	timer := time.NewTimer(time.Until(sent))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-a.ctx.Done():
+		return false
+	}
+}
+
 // write sends the request; a body that is still arriving is sent by a goroutine.
 func (a *attempt) write(until time.Time) error {
 	if a.body == nil || a.c.body.whole() {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -78,6 +78,10 @@
 	// Slow reports whether work on a server takes much longer than usual just now, so that a second attempt elsewhere may
 	// overtake it; nil for never.
 	Slow func(server string) bool
+	// AwaitQuiet returns when work on a server does not take much longer than usual, or at the given time; nil for at once.
+	AwaitQuiet func(ctx context.Context, server string, until time.Time)
+	// Link is what the host's link carries, in Mbit/s; 0 when unknown.
+	Link float64
 	// HedgeWait is how long the limiter may take to choose a server for a second attempt; 0 for the default.
 	HedgeWait time.Duration
 	// Observe receives the outcome of each attempt; nil ignores them.
--- /dev/null
+++ b/forwarder/quiet_test.go
@@ -0,0 +1,80 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sycamorevane.example/sycamorevane"
+)
+
+// Guards against long uploads that start on a machine that has become slow while they were on their way.
+func TestEndOfALongBodyWaitsForAQuietMachine(t *testing.T) {
+	t.Parallel()
+	const size, pause, hold = 100 << 10, 3 * quietAge, 100 * time.Millisecond
+	cases := map[string]struct {
+		size    int
+		aim     time.Duration
+		chunked bool
+		held    bool
+	}{
+		"long":                     {size, 10 * time.Second, false, true},
+		"short":                    {1 << 10, 10 * time.Second, false, false},
+		"too late to be in time":   {size, time.Millisecond, false, false},
+		"of unknown length":        {size, 10 * time.Second, true, false},
+		"of unknown length, whole": {longBody, 10 * time.Second, true, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var got, asked atomic.Int64
+			server, target := newScript(t, func(s *script, _ int, c net.Conn) {
+				if req, ok := s.read(bufio.NewReader(c)); ok {
+					got.Store(time.Now().UnixNano())
+					_, _ = io.WriteString(c, strings.ReplaceAll(proved, "ID", req.Header.Get("X-Request-Id")))
+				}
+			})
+			r := newRig(t, withRules(func(cfg *Config, st *sycamorevane.State) {
+				st.Config.Rules[1].Aim, st.Config.Rules[1].Timeout = tc.aim, 20*time.Second
+				cfg.AwaitQuiet = func(_ context.Context, id string, until time.Time) {
+					assert.Equal(t, target.ID, id)
+					assert.True(t, until.Before(time.Now().Add(tc.aim)))
+					if time.Now().Before(until) {
+						time.Sleep(hold)
+						asked.Store(time.Now().UnixNano())
+					}
+				}
+			}), target)
+			body, w := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(w, strings.Repeat("x", tc.size-1))
+				time.Sleep(pause)
+				_, _ = io.WriteString(w, "y")
+				_ = w.Close()
+			}()
+			req, err := http.NewRequest("POST", r.front.URL+"/set/x", body)
+			require.NoError(t, err)
+			req.Host = "flagboard.test"
+			req.Header["X-Request-Id"] = []string{"q1"}
+			if !tc.chunked {
+				req.ContentLength = int64(tc.size)
+			}
+			resp, err := r.client.Do(req)
+			require.NoError(t, err)
+			_ = resp.Body.Close()
+			require.Equal(t, 200, resp.StatusCode)
+			require.Equal(t, 1, server.count())
+			require.Equal(t, tc.held, asked.Load() != 0)
+			require.GreaterOrEqual(t, got.Load(), asked.Load(), "the server has the whole body only then")
+		})
+	}
+}
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -91,7 +91,7 @@
 		Self: o.cfg.Settings.Name, Limiter: e.place, State: e.sub.State, Dialect: o.cfg.Adapter.Dialect(),
 		Observe: e.collector.Observe, First: e.sub.First(), Grace: answerGrace, Leaving: e.leaving.Load, Dial: openDial,
 		Peers:      func() int { return int(max(1, e.entries.Load())) },
-		RetryBurst: e.retryBurst, Slow: e.place.Slow, HedgeWait: openHedge, Log: o.cfg.Log, Metrics: o.metrics,
+		RetryBurst: e.retryBurst, Slow: e.place.Slow, AwaitQuiet: e.place.AwaitQuiet, Link: o.cfg.Settings.Link, HedgeWait: openHedge, Log: o.cfg.Log, Metrics: o.metrics,
 	})
 	e.reporter = promoter.NewReporter(promoter.ReporterConfig{
 		Transport: o.mesh, Collector: e.collector, Log: o.cfg.Log, Leader: e.sub.Leader,
