Entries that start take the servers from any control host, and open further sessions over a second

Change: a control host that does not lead tells an entry that knows no server which ones it knows; the leader's answer goes before it. An entry that has reached a control host opens the sessions with the others over a second.

--- a/cataloger/follower.go
+++ b/cataloger/follower.go
@@ -75,24 +75,27 @@
 }
 
 // Announced compares the revision that the leader announces with the one here and asks for the catalog when a push
-// was missed.
-func (f *Follower) Announced(leader string, epoch, revision uint64) {
+// was missed. A host that does not lead announces epoch 0; it is asked while no server is known.
+func (f *Follower) Announced(from string, epoch, revision uint64) {
 	f.mu.Lock()
 	current := f.epoch == epoch && f.revision >= revision
+	if epoch == 0 {
+		current = len(f.catalog.entries) > 0
+	}
 	f.mu.Unlock()
-	if current || epoch == 0 || !f.asking.CompareAndSwap(false, true) {
+	if current || !f.asking.CompareAndSwap(false, true) {
 		return
 	}
 	f.wg.Go(func() {
 		defer f.asking.Store(false)
 		ctx, cancel := context.WithTimeout(f.ctx, askTimeout)
 		defer cancel()
-		reply, err := f.cfg.Transport.Call(ctx, leader, &encoder.CatalogAsk{})
+		reply, err := f.cfg.Transport.Call(ctx, from, &encoder.CatalogAsk{})
 		if err != nil {
-			f.cfg.Log.Info("catalog not received", "leader", leader, "reason", err.Error())
+			f.cfg.Log.Info("catalog not received", "from", from, "reason", err.Error())
 			return
 		}
-		f.onPush(leader, reply)
+		f.onPush(from, reply)
 	})
 }
 
@@ -121,11 +124,13 @@
 		f.catalog.Merge(r, now)
 		delete(f.unlisted, r.Server.ID)
 	}
-	if push.Full {
+	if push.Full && push.Epoch != 0 {
 		f.noteUnlisted(push, now)
 		f.epoch, f.revision = push.Epoch, push.Revision
 	}
-	f.revision = max(f.revision, push.Revision)
+	if push.Epoch != 0 {
+		f.revision = max(f.revision, push.Revision)
+	}
 	f.catalog.Forget(now, forgetAfter)
 	f.cfg.Log.Info("catalog changed", "epoch", push.Epoch, "revision", push.Revision, "full", push.Full,
 		"records", len(push.Records), "servers", len(f.catalog.entries))
--- a/cataloger/keeper.go
+++ b/cataloger/keeper.go
@@ -307,14 +307,15 @@
 	return nil
 }
 
-// onAsk answers an entry that has missed a change. Only the leader answers.
+// onAsk answers an entry that has missed a change. Other hosts than the leader answer without an epoch, for entries that
+// have just started and know no server.
 func (k *Keeper) onAsk(string, proto.Message) proto.Message {
 	leads, term := k.cfg.Leads()
-	if !leads {
-		return nil
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !leads {
+		return &encoder.CatalogPush{Full: true, Records: encode(k.catalog.Since(0, time.Now()))}
+	}
 	k.enter(leads, term)
 	return &encoder.CatalogPush{
 		Epoch: term, Revision: k.pushed, Full: true, Records: encode(k.catalog.Since(0, time.Now())),
--- a/cataloger/keeper_test.go
+++ b/cataloger/keeper_test.go
@@ -102,6 +102,32 @@
 	return k, committed
 }
 
+// Guards against an entry that serves nobody after a restart of all hosts, until it has a session with the leader.
+func TestEntryWithoutServersAsksAnyControlHost(t *testing.T) {
+	wires := newWires("c1", "c2", "entry")
+	var mu sync.Mutex
+	leader := "c1"
+	first, _ := keeperOn(t, wires["c1"], nil, &leader, &mu)
+	second, _ := keeperOn(t, wires["c2"], nil, &leader, &mu)
+	f := NewFollower(FollowerConfig{Transport: wires["entry"], Changed: func() {}, Log: logr.Discard()})
+	t.Cleanup(f.Close)
+	wires["entry"].drop(true) // It gets no push of the leader.
+	ctx := context.Background()
+	require.NoError(t, second.Report(ctx, report("x", "1", 1, 1)))
+	f.Announced("c2", 0, 0)
+	require.Eventually(t, func() bool { return len(f.All()) == 1 }, time.Second, time.Millisecond)
+	require.NoError(t, second.Report(ctx, report("y", "2", 1, 1)))
+	f.Announced("c2", 0, 0)
+	time.Sleep(20 * time.Millisecond)
+	require.Len(t, f.All(), 1, "it knows servers")
+	require.NoError(t, first.Report(ctx, report("z", "3", 1, 1)))
+	require.Eventually(t, func() bool {
+		epoch, revision := first.Revision()
+		f.Announced("c1", epoch, revision)
+		return len(f.All()) == 2
+	}, 2*time.Second, time.Millisecond, "the leader's catalog is taken whatever another host has said")
+}
+
 // Guards against servers that report to one control host and stay unknown to entries, also after a change of the leader
 // and for an entry that missed a push.
 func TestReportsReachEntries(t *testing.T) {
--- a/runner/open.go
+++ b/runner/open.go
@@ -51,7 +51,10 @@
 
 const (
 	// contactInterval is how often a process looks for hosts that it should have a session with.
-	contactInterval = 500 * time.Millisecond
+	contactInterval = 100 * time.Millisecond
+	// contactSpread is the time over which an entry that has reached a control host opens sessions with the others. A
+	// session costs a small control host a few milliseconds.
+	contactSpread = time.Second
 	// memoryShare is the part of the process's memory limit that the heap may take before it is collected harder.
 	memoryShare = 0.5
 	// openCollect is the garbage collection target of processes on hosts with little memory and processor.
@@ -70,6 +73,8 @@
 	wg      sync.WaitGroup
 	// exposed serves the metrics; nil when they are not.
 	exposed *http.Server
+	// due belongs to contactLoop.
+	due contacts
 
 	mu sync.Mutex
 	// members are the control hosts that the leader named last.
@@ -201,7 +206,11 @@
 		}
 	}
 	delete(wanted, o.mesh.Self())
-	for name := range wanted {
+	spread := time.Duration(0)
+	if reached && o.control == nil {
+		spread = contactSpread
+	}
+	for _, name := range o.due.ready(time.Now(), wanted, spread) {
 		o.mesh.Connect(name, "", name)
 	}
 	for _, p := range o.mesh.Peers() {
