--- a/dispatcher/ask.go
+++ b/dispatcher/ask.go
@@ -129,11 +129,16 @@
 
 // noteAnswer takes into account whether a question was answered in time.
 func (d *Dispatcher) noteAnswer(inTime bool) {
-	value := 0.0
+	value, before := 0.0, d.timely
 	if inTime {
 		value = 1
+	} else {
+		d.untimely.Inc(1)
 	}
 	d.timely += timelyWeight * (value - d.timely)
+	if was, is := before >= timelyLeast, d.timely >= timelyLeast; was != is {
+		d.cfg.Log.Info("requests wait for the load of servers", "waiting", is, "intime", d.timely)
+	}
 }
 
 // freshUntil is until when a request that comes now waits for fresh reports.
@@ -146,6 +151,7 @@
 
 // send asks the servers.
 func (d *Dispatcher) send(list []Probe) {
+	d.questions.Inc(int64(len(list)))
 	for _, p := range list {
 		d.cfg.Probe(p)
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -82,6 +82,9 @@
 	explained time.Time
 	paused    tally.Counter
 	refused   tally.Counter
+	// questions counts the servers asked for waiting requests, untimely the answers that no request waited for any more.
+	questions tally.Counter
+	untimely  tally.Counter
 }
 
 // waiter is a request without a server.
@@ -114,6 +117,7 @@
 		cfg: cfg, core: newCore(cfg.DC, cfg.Bounds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		started: time.Now(), queue: make(map[string][]*waiter), returned: make(map[string]time.Time),
 		timely: 1, paused: m.Counter("paused"), refused: m.Counter("refused"),
+		questions: m.Counter("questions"), untimely: m.Counter("untimely"),
 	}
 }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -72,6 +72,8 @@
 	latency time.Duration
 	// load is what the server said of itself; nil when it said nothing.
 	load *sycamorevane.Load
+	// held is how long the end of the body was held back.
+	held time.Duration
 }
 
 // good reports whether the answer can be given to the caller without trying elsewhere.
@@ -103,6 +105,8 @@
 	single bool
 	// uploaded is when the request was written in Unix ns; the latency counts from there.
 	uploaded atomic.Int64
+	// held is how long the end of the body was held back, in ns.
+	held atomic.Int64
 }
 
 // bodyReader remembers that the caller's side failed, and can hold the last byte back.
@@ -297,6 +301,8 @@
 	if aim.IsZero() {
 		return
 	}
+	began := time.Now()
+	defer func() { a.held.Store(int64(time.Since(began))) }()
 	until := aim.Add(-time.Duration(hedgeRoom * float64(a.c.ruleState.median.get())))
 	if !a.awaitSent(until) || time.Since(a.began) < quietAge {
 		return
@@ -436,7 +442,10 @@
 // readBody reads a short answer whole and leaves a long one to be streamed.
 func (a *attempt) readBody(resp *http.Response) *result {
 	a.conn.head = -1
-	res := &result{server: a.grant.Server, id: a.id, sent: true, resp: resp, kind: sycamorevane.OutcomeOK, latency: a.latent, load: a.load}
+	res := &result{
+		server: a.grant.Server, id: a.id, sent: true, resp: resp, kind: sycamorevane.OutcomeOK, latency: a.latent, load: a.load,
+		held: time.Duration(a.held.Load()),
+	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		res.kind = sycamorevane.OutcomeFailed
 	}
