--- a/dispatcher/ask.go
+++ b/dispatcher/ask.go
@@ -39,9 +39,9 @@
 	state   uint64
 }
 
-// asks lists the servers whose load should be asked for on behalf of the requests that wait for fresh reports. It is called
-// with the lock held.
-func (d *Dispatcher) asks(v *view, service string) []Probe {
+// questions lists the servers to ask for their load on behalf of the requests that wait for fresh reports. It is called with
+// the lock held.
+func (d *Dispatcher) questions(v *view, service string) []Probe {
 	if d.cfg.Probe == nil || v.share.rank >= v.share.entries {
 		return nil
 	}
@@ -51,7 +51,7 @@
 	}
 	var list []Probe
 	p := d.core.pool(service)
-	room := asksMost - p.asking(v.now)
+	room := asksMost - p.unanswered(v.now)
 	for _, w := range d.queue[service] {
 		if room <= 0 {
 			break
@@ -59,7 +59,7 @@
 		if !v.now.Before(w.freshUntil) {
 			continue
 		}
-		found := d.core.askable(v, w, p, svc, min(asksEach, room)-w.asking(v.now))
+		found := d.core.candidates(v, w, p, svc, min(asksEach, room)-w.unanswered(v.now))
 		for _, s := range found {
 			s.probed, s.probing = v.now, true
 			w.asked = append(w.asked, s)
@@ -70,36 +70,36 @@
 	return list
 }
 
-// asking is how many servers have been asked and may still answer in time.
-func (p *pool) asking(now time.Time) int {
+// unanswered is how many servers have been asked and may still answer in time.
+func (p *pool) unanswered(now time.Time) int {
 	n := 0
 	for _, s := range p.servers {
-		if s.asked(now) {
+		if s.unanswered(now) {
 			n++
 		}
 	}
 	return n
 }
 
-// asking is how many servers have been asked for this request and may still answer in time.
-func (w *waiter) asking(now time.Time) int {
-	w.asked = slices.DeleteFunc(w.asked, func(s *server) bool { return !s.asked(now) })
+// unanswered is how many servers have been asked for this request and may still answer in time.
+func (w *waiter) unanswered(now time.Time) int {
+	w.asked = slices.DeleteFunc(w.asked, func(s *server) bool { return !s.unanswered(now) })
 	return len(w.asked)
 }
 
-// asked reports whether the server may still answer a question in time.
-func (s *server) asked(now time.Time) bool { return s.probing && now.Sub(s.probed) < askWait }
+// unanswered reports whether the server may still answer a question in time.
+func (s *server) unanswered(now time.Time) bool { return s.probing && now.Sub(s.probed) < askWait }
 
-// askable lists the most promising servers that the request may go to and whose reports are too old.
-func (c *core) askable(v *view, w *waiter, p *pool, svc *sycamorevane.Service, n int) []*server {
+// candidates lists the most promising servers that the request may go to and whose reports are too old.
+func (c *core) candidates(v *view, w *waiter, p *pool, svc *sycamorevane.Service, n int) []*server {
 	if n <= 0 {
 		return nil
 	}
-	type candidate struct {
+	type option struct {
 		s    *server
 		cost float64
 	}
-	var list []candidate
+	var list []option
 	usual := p.timesOf(w.ask.Route).usual
 	gap := time.Duration(min(homeEntries, v.nearEntries())) * time.Second / askRate
 	for _, s := range p.servers {
@@ -117,9 +117,9 @@
 		if !s.free(v.now, usual, v.share.entries) {
 			cost *= fullCost
 		}
-		list = append(list, candidate{s, cost})
+		list = append(list, option{s, cost})
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	slices.SortFunc(list, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
 	var found []*server
 	for _, e := range list[:min(n, len(list))] {
 		found = append(found, e.s)
@@ -151,7 +151,7 @@
 
 // send asks the servers.
 func (d *Dispatcher) send(list []Probe) {
-	d.questions.Inc(int64(len(list)))
+	d.asked.Inc(int64(len(list)))
 	for _, p := range list {
 		d.cfg.Probe(p)
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -82,9 +82,9 @@
 	explained time.Time
 	paused    tally.Counter
 	refused   tally.Counter
-	// questions counts the servers asked for waiting requests, untimely the answers that no request waited for any more.
-	questions tally.Counter
-	untimely  tally.Counter
+	// asked counts the servers asked for waiting requests, untimely the answers that no request waited for any more.
+	asked    tally.Counter
+	untimely tally.Counter
 }
 
 // waiter is a request without a server.
@@ -117,7 +117,7 @@
 		cfg: cfg, core: newCore(cfg.DC, cfg.Bounds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		started: time.Now(), queue: make(map[string][]*waiter), returned: make(map[string]time.Time),
 		timely: 1, paused: m.Counter("paused"), refused: m.Counter("refused"),
-		questions: m.Counter("questions"), untimely: m.Counter("untimely"),
+		asked: m.Counter("questions"), untimely: m.Counter("untimely"),
 	}
 }
 
@@ -295,7 +295,7 @@
 	}
 	d.serveSome(v, service, true)
 	d.serveSome(v, service, false)
-	return d.asks(v, service)
+	return d.questions(v, service)
 }
 
 // serveSome gives room to the requests that can still meet their aim, or to the others. A late answer is worth little,
