--- a/dispatcher/ask_test.go
+++ b/dispatcher/ask_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +15,9 @@
 
 // farm answers the questions of a dispatcher after delay, as the servers are then.
 type farm struct {
-	d     *Dispatcher
+	d *Dispatcher
+
+	mu    sync.Mutex
 	delay time.Duration
 	// loads holds what each server says; one that is missing does not answer.
 	loads map[string]*sycamorevane.Load
@@ -28,14 +31,37 @@
 	}
 	f.d = newTestDispatcher(st, entries...)
 	f.d.cfg.Probe = func(p Probe) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		f.asked++
 		time.AfterFunc(f.delay, func() { f.answer(p.Server.ID) })
 	}
 	return f
 }
 
+func (f *farm) set(id string, l *sycamorevane.Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loads[id] = l
+}
+
+func (f *farm) setDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = d
+}
+
+func (f *farm) questions() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asked
+}
+
 func (f *farm) answer(id string) {
-	if l := f.loads[id]; l != nil {
+	f.mu.Lock()
+	l := f.loads[id]
+	f.mu.Unlock()
+	if l != nil {
 		f.d.Probed(time.Now(), id, ProbeResult{Answered: true, Load: l, Cold: -1})
 	}
 }
@@ -69,7 +95,8 @@
 		f := newFarm(newState(), time.Millisecond, map[string]*sycamorevane.Load{"x": quiet(), "y": slow()}, entry("x", "a", "v1"), entry("y", "a", "v1"))
 		f.learn()
 		time.Sleep(200 * time.Millisecond)
-		f.loads["x"], f.loads["y"] = slow(), quiet()
+		f.set("x", slow())
+		f.set("y", quiet())
 		g, took := f.acquire(t, sycamorevane.Ask{})
 		require.Equal(t, "y", g.Server.ID)
 		require.Less(t, took, askWait)
@@ -79,7 +106,7 @@
 		f.learn()
 		_, took := f.acquire(t, sycamorevane.Ask{})
 		require.Zero(t, took)
-		require.Zero(t, f.asked)
+		require.Zero(t, f.questions())
 	})
 	run("servers that do not answer in time hold nobody up", func(t *testing.T) {
 		f := newFarm(newState(), time.Second, map[string]*sycamorevane.Load{"x": quiet()}, entry("x", "a", "v1"))
@@ -100,10 +127,12 @@
 		time.Sleep(200 * time.Millisecond)
 		_, took := f.acquire(t, sycamorevane.Ask{})
 		require.Zero(t, took)
-		f.delay = time.Millisecond
+		f.setDelay(time.Millisecond)
 		for range 20 {
 			f.d.send([]Probe{{Server: sycamorevane.Server{ID: "x"}}})
+			f.d.mu.Lock()
 			f.d.core.byID["x"].probed = time.Now()
+			f.d.mu.Unlock()
 			time.Sleep(200 * time.Millisecond)
 		}
 		_, took = f.acquire(t, sycamorevane.Ask{})
@@ -184,7 +213,7 @@
 		}
 		asked := 0
 		for _, f := range farms {
-			asked += f.asked
+			asked += f.questions()
 		}
 		require.Positive(t, asked)
 		require.LessOrEqual(t, asked, seconds*askRate+entries, "the first question of each entry comes at once")
@@ -212,7 +241,7 @@
 	run("a quiet machine", map[string]*sycamorevane.Load{"x": quiet()}, nil, time.Millisecond)
 	run("one that stays slow", map[string]*sycamorevane.Load{"x": slow()}, nil, 300*time.Millisecond)
 	run("one that becomes quiet", map[string]*sycamorevane.Load{"x": slow()}, func(f *farm) {
-		time.AfterFunc(100*time.Millisecond, func() { f.loads["x"] = quiet() })
+		time.AfterFunc(100*time.Millisecond, func() { f.set("x", quiet()) })
 	}, 100*time.Millisecond)
 	run("a server that does not tell its load", nil, nil, 0)
 	run("a server that has left", map[string]*sycamorevane.Load{"x": slow()}, func(f *farm) {
