Requests wait for answers again only when four fifths of them come in time

Change: two bounds. Test: TestRequestIsPlacedByAFreshReport/nor_does_anybody_wait_while_most_answers_come_too_late.

--- a/dispatcher/ask.go
+++ b/dispatcher/ask.go
@@ -25,10 +25,12 @@
 	// quietTick is how often a server is looked at on which a request is to start, and quietGap how often it is asked.
 	quietTick = 5 * time.Millisecond
 	quietGap  = 40 * time.Millisecond
-	// timelyWeight is the weight of one answer in the part of the answers that come in time, timelyLeast the part from
-	// which requests wait for them. While this host is short of processor time, questions only make it slower.
+	// timelyWeight is the weight of one answer in the part of the answers that come in time. Requests wait for answers until
+	// fewer than timelyLeast come in time, and again from timelyAgain on. While this host is short of processor time,
+	// questions only make it slower.
 	timelyWeight = 0.05
 	timelyLeast  = 0.5
+	timelyAgain  = 0.8
 )
 
 // draw is the version that a request goes to, for as long as the state stays the same: drawn anew while it waits, the
@@ -129,21 +131,23 @@
 
 // noteAnswer takes into account whether a question was answered in time.
 func (d *Dispatcher) noteAnswer(inTime bool) {
-	value, before := 0.0, d.timely
+	value := 0.0
 	if inTime {
 		value = 1
 	} else {
 		d.untimely.Inc(1)
 	}
 	d.timely += timelyWeight * (value - d.timely)
-	if was, is := before >= timelyLeast, d.timely >= timelyLeast; was != is {
-		d.cfg.Log.Info("requests wait for the load of servers", "waiting", is, "intime", d.timely)
+	if d.hasty && d.timely < timelyAgain || !d.hasty && d.timely >= timelyLeast {
+		return
 	}
+	d.hasty = !d.hasty
+	d.cfg.Log.Info("requests wait for the load of servers", "waiting", !d.hasty, "intime", d.timely)
 }
 
 // freshUntil is until when a request that comes now waits for fresh reports.
 func (d *Dispatcher) freshUntil(now time.Time) time.Time {
-	if d.cfg.Probe == nil || d.timely < timelyLeast {
+	if d.cfg.Probe == nil || d.hasty {
 		return now
 	}
 	return now.Add(askWait)
@@ -181,7 +185,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.core.byID[server]
-	if s == nil || !s.tells || d.cfg.Probe == nil || d.timely < timelyLeast {
+	if s == nil || !s.tells || d.cfg.Probe == nil || d.hasty {
 		return true, nil
 	}
 	age := now.Sub(s.loadAt)
--- a/dispatcher/ask_test.go
+++ b/dispatcher/ask_test.go
@@ -128,7 +128,7 @@
 		_, took := f.acquire(t, sycamorevane.Ask{})
 		require.Zero(t, took)
 		f.setDelay(time.Millisecond)
-		for range 20 {
+		for range 30 {
 			f.d.send([]Probe{{Server: sycamorevane.Server{ID: "x"}}})
 			f.d.mu.Lock()
 			f.d.core.byID["x"].probed = time.Now()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -76,8 +76,10 @@
 	returned map[string]time.Time
 	// foreign spreads the probes of foreign servers.
 	foreign bucket
-	// timely is the smoothed part of the questions that servers answer in time.
+	// timely is the smoothed part of the questions that servers answer in time; hasty is set while it is too small for
+	// requests to wait for answers.
 	timely float64
+	hasty  bool
 	// explained is when full servers were last described.
 	explained time.Time
 	paused    tally.Counter
