--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -41,7 +41,8 @@
 	probeTick = 30 * time.Millisecond
 	probeWait = 150 * time.Millisecond
 	// fullCPU and fullLink are the core share and the Mbit/s with which resolver.ActivePart of the entries carries the
-	// traffic of the users' deployments: the hosts of the first two, and a tenth of the uploads of the grown ones at a link.
+	// traffic of the users' deployments: the core share of the hosts of the first two, and ten times the 6 Mbit/s of the
+	// grown ones, of which all are named.
 	fullCPU  = 0.32
 	fullLink = 60
 	// presenceTick is how often the entry looks for a control host that does not know it yet.
