Servers that say in an answer that they leave, or want no requests for a time, get none

Cause: no answer's header was read for it. A server that left was used until a control host had its end committed, and a server that named a time with its 503 was left alone for 150 ms whatever it had asked for.

Change: the forwarder reads both from the header of every answer, questions for load included, before the answer is passed on; the dispatcher keeps them by the start of the server, beside the catalog. A leaving server is used only while no other one of the version can be, and for 0.4 of the drain time; a time without requests is kept to its end, at most 5 minutes, and requests whose servers are all in such a time are refused at once with the time at which the first one ends. The setting bounds.drain is new.

Tests: TestLeavingServer, TestServerThatAskedForNoRequests, TestNotices, TestPauseOf. They do not compile on the code before.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -36,6 +36,11 @@
 	silentCost = 20.0
 	// pausedCost does so for paused ones.
 	pausedCost = 50.0
+	// drainShare is the part of Bounds.Drain in which a server that leaves is still used when no other one can be; the rest
+	// is for requests that are on their way.
+	drainShare = 0.4
+	// leavingLife is how long it is remembered that a server leaves: longer than any takes to end.
+	leavingLife = time.Hour
 	// fullCost keeps questions off servers that seemed to be full, as long as others may have room.
 	fullCost = 10.0
 )
@@ -46,6 +51,8 @@
 	// the factor, plus the slack.
 	ColdFactor float64
 	ColdSlack  float64
+	// Drain is the time after which a server that has said in an answer that it leaves gets no new work; 0 for at once.
+	Drain time.Duration
 }
 
 // share is this entry's part of the system-wide limits.
@@ -59,7 +66,10 @@
 	pools  map[string]*pool
 	// byID holds all servers.
 	byID map[string]*server
-	next uint64
+	// leaving is since when servers have said in their answers that they leave. It outlives their place in the catalog,
+	// where a server may be missing for a while.
+	leaving map[string]time.Time
+	next    uint64
 }
 
 // pool is the servers of one service.
@@ -101,7 +111,10 @@
 }
 
 func newCore(dc string, bounds Bounds, r *rand.Rand) *core {
-	return &core{dc: dc, bounds: bounds, rand: r, pools: make(map[string]*pool), byID: make(map[string]*server)}
+	return &core{
+		dc: dc, bounds: bounds, rand: r, pools: make(map[string]*pool), byID: make(map[string]*server),
+		leaving: make(map[string]time.Time),
+	}
 }
 
 // update replaces the servers, keeping what is known of those that stay.
@@ -115,7 +128,8 @@
 		if !ok {
 			s = newServer(e)
 		}
-		s.entry = e
+		s.entry, s.leaving = e, c.leaving[e.Server.ID]
+		s.drain = time.Duration(drainShare * float64(c.bounds.Drain))
 		byID[e.Server.ID] = s
 		p := c.pool(e.Server.Service)
 		s.tells = p.tells
@@ -160,6 +174,9 @@
 	trial  bool
 	full   bool
 	stale  bool
+	// held is when the first of the servers that have asked for no requests takes some again, and zero unless all others
+	// are unusable.
+	held time.Time
 }
 
 // view is what a decision depends on besides the servers.
@@ -240,8 +257,13 @@
 	var got choice
 	best := 0.0
 	bestCold := false
+	staying := p.staying(v, version, ask.Avoid)
+	var held time.Time
 	for _, s := range p.servers {
-		if !usable(v, s, version, ask.Avoid) {
+		if s.heldAt(v.now) && wanted(v, s, version, ask.Avoid) && (held.IsZero() || s.heldTil.Before(held)) {
+			held = s.heldTil
+		}
+		if !usable(v, s, version, ask.Avoid) || staying && s.leavingSoon() {
 			continue
 		}
 		got.full = true
@@ -274,13 +296,23 @@
 	if got.server != nil && bestCold {
 		got.server.cold.take(v.now, c.coldRate(v, svc))
 	}
+	if !got.full {
+		got.held = held
+	}
 	return got
 }
 
-// timely reports whether a server, free or not, would answer within the time that is left.
+// staying reports whether a server may be used that has not said that it leaves.
+func (p *pool) staying(v *view, version string, avoid []string) bool {
+	return slices.ContainsFunc(p.servers, func(s *server) bool {
+		return !s.leavingSoon() && usable(v, s, version, avoid)
+	})
+}
+
+// timely reports whether a server that stays, free or not, would answer within the time that is left.
 func (p *pool) timely(v *view, ask *sycamorevane.Ask, version string, base, left time.Duration) bool {
 	return slices.ContainsFunc(p.servers, func(s *server) bool {
-		return !s.entry.Silent && !s.pausedAt(v.now) && s.expected(v.now, base) <= left && usable(v, s, version, ask.Avoid)
+		return !s.entry.Silent && !s.pausedAt(v.now) && !s.leavingSoon() && s.expected(v.now, base) <= left && usable(v, s, version, ask.Avoid)
 	})
 }
 
@@ -289,10 +321,15 @@
 	return !ask.Aim.IsZero() && ask.Aim.Sub(now) > t.base
 }
 
-// usable reports whether the server may get the request at all.
+// usable reports whether the server may get the request at all now.
 func usable(v *view, s *server, version string, avoid []string) bool {
+	return !s.heldAt(v.now) && wanted(v, s, version, avoid)
+}
+
+// wanted reports whether the server may get the request as soon as it takes requests of this entry.
+func wanted(v *view, s *server, version string, avoid []string) bool {
 	e := &s.entry
-	if e.Gone() || s.stale || version != "" && e.Server.Version != version {
+	if e.Gone() || s.stale || s.endedAt(v.now) || version != "" && e.Server.Version != version {
 		return false
 	}
 	if v.state.Leaving(&e.Server, e.Born) {
@@ -368,6 +405,30 @@
 	return s.cold.ready(v.now, rate)
 }
 
+// notice takes what a server asks for in an answer, and reports whether it changes anything.
+func (c *core) notice(now time.Time, id string, n sycamorevane.Notice) bool {
+	news := false
+	if _, known := c.leaving[id]; n.Leaving && !known {
+		c.leaving[id] = now
+		news = true
+	}
+	for other, since := range c.leaving {
+		if now.Sub(since) > leavingLife {
+			delete(c.leaving, other)
+		}
+	}
+	s := c.byID[id]
+	if s == nil {
+		return news
+	}
+	s.leaving = c.leaving[id]
+	if until := now.Add(n.Pause); n.Pause > 0 && until.After(s.heldTil) {
+		s.heldTil = until
+		news = true
+	}
+	return news
+}
+
 // start books a request on the server and returns the number of the grant.
 func (c *core) start(now time.Time, s *server) uint64 {
 	c.next++
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -38,6 +38,8 @@
 	longWait = 30 * time.Millisecond
 	// returnShare of its remaining time is after when a request that is late anyway should come back.
 	returnShare = 0.3
+	// heldSpread spreads the return of requests for servers that have asked for no requests.
+	heldSpread = 0.3
 	// retryNone is when a caller should come back while no server is known.
 	retryNone = 500 * time.Millisecond
 )
@@ -100,8 +102,14 @@
 	// freshUntil is until when it waits for fresh reports, which the servers in asked may bring.
 	freshUntil time.Time
 	asked      []*server
-	// got receives the choice; it has room for one.
-	got chan sycamorevane.Grant
+	// got receives the end of the wait; it has room for one.
+	got chan placement
+}
+
+// placement is a choice, or why there is none.
+type placement struct {
+	grant sycamorevane.Grant
+	err   error
 }
 
 var _ sycamorevane.Limiter = (*Dispatcher)(nil)
@@ -176,7 +184,7 @@
 		return sycamorevane.Grant{}, d.refuse(&ask, "no configuration is in force", retryNone)
 	}
 	w := &waiter{
-		ask: &ask, got: make(chan sycamorevane.Grant, 1), draw: d.core.draw(v, &ask), freshUntil: d.freshUntil(now),
+		ask: &ask, got: make(chan placement, 1), draw: d.core.draw(v, &ask), freshUntil: d.freshUntil(now),
 	}
 	got := choice{full: true}
 	if len(d.queue[ask.Service]) == 0 || ask.Hedge {
@@ -194,6 +202,9 @@
 	}
 	reason := ""
 	switch {
+	case got.held.After(now):
+		d.mu.Unlock()
+		return sycamorevane.Grant{}, d.refuseHeld(now, &ask, got.held)
 	case !got.full && now.Sub(d.started) > startTime:
 		reason = "no server can take the request"
 	case queued >= maxQueue:
@@ -251,8 +262,8 @@
 	defer t.Stop()
 	for {
 		select {
-		case g := <-w.got:
-			return g, nil
+		case p := <-w.got:
+			return p.grant, p.err
 		case <-ctx.Done():
 			return d.leave(w, ctx.Err())
 		case now := <-t.C:
@@ -280,8 +291,9 @@
 		return sycamorevane.Grant{}, err
 	}
 	d.mu.Unlock()
-	g := <-w.got
-	d.Release(g, sycamorevane.Outcome{Kind: sycamorevane.OutcomeCancelled, Route: w.ask.Route})
+	if p := <-w.got; p.err == nil {
+		d.Release(p.grant, sycamorevane.Outcome{Kind: sycamorevane.OutcomeCancelled, Route: w.ask.Route})
+	}
 	return sycamorevane.Grant{}, err
 }
 
@@ -319,11 +331,16 @@
 		if got.server == nil && got.stale {
 			continue // Its servers are being asked; one that has waited long enough may follow.
 		}
+		if got.server == nil && got.held.After(v.now) {
+			served.Add(w.number)
+			w.got <- placement{err: d.refuseHeld(v.now, w.ask, got.held)}
+			continue
+		}
 		if got.server == nil {
 			break
 		}
 		served.Add(w.number)
-		w.got <- d.grant(v, got)
+		w.got <- placement{grant: d.grant(v, got)}
 	}
 	if len(served) > 0 {
 		d.queue[service] = slices.DeleteFunc(d.queue[service], func(w *waiter) bool { return served.Has(w.number) })
@@ -366,6 +383,18 @@
 	return counts
 }
 
+// Notice takes what a server asks for in an answer. It holds for that start of the server on this entry: a wrong claim
+// takes out no other server, and nothing that the server reports later takes it back.
+func (d *Dispatcher) Notice(server string, n sycamorevane.Notice) {
+	now := time.Now()
+	d.mu.Lock()
+	news := d.core.notice(now, server, n)
+	d.mu.Unlock()
+	if news {
+		d.cfg.Log.Info("server asks for no requests", "server", server, "leaving", n.Leaving, "pausems", n.Pause.Milliseconds())
+	}
+}
+
 // Slow reports whether work on the server takes at least slowPace times as long as usual just now.
 func (d *Dispatcher) Slow(server string) bool {
 	now := time.Now()
@@ -432,6 +461,12 @@
 		"queued", len(d.queue[ask.Service]), "usualms", t.usual.Milliseconds(), "basems", t.base.Milliseconds())
 }
 
+// refuseHeld refuses a request whose servers have all asked for no requests until then.
+func (d *Dispatcher) refuseHeld(now time.Time, ask *sycamorevane.Ask, until time.Time) *sycamorevane.RefusedError {
+	after := time.Duration((1 + heldSpread*rand.Float64()) * float64(until.Sub(now)))
+	return d.refuse(ask, "all servers have asked for no requests", after)
+}
+
 func (d *Dispatcher) refuse(ask *sycamorevane.Ask, reason string, after time.Duration) *sycamorevane.RefusedError {
 	d.refused.Inc(1)
 	return &sycamorevane.RefusedError{Service: ask.Service, Firm: ask.Firm, Reason: reason, After: after}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -406,7 +406,7 @@
 	now := time.Now()
 	var list []*waiter
 	for i := range 4 {
-		w := &waiter{got: make(chan sycamorevane.Grant, 1), ask: &sycamorevane.Ask{
+		w := &waiter{got: make(chan placement, 1), ask: &sycamorevane.Ask{
 			Service: "s", Route: "r", Priority: i % 2, Aim: now.Add(time.Second), Deadline: now.Add(time.Minute),
 		}}
 		d.enqueue(w)
@@ -511,7 +511,7 @@
 	now := time.Now()
 	var order []string
 	add := func(name string, priority int, aim time.Duration) *waiter {
-		w := &waiter{got: make(chan sycamorevane.Grant, 1), ask: &sycamorevane.Ask{
+		w := &waiter{got: make(chan placement, 1), ask: &sycamorevane.Ask{
 			Service: "s", Route: name, Priority: priority, Aim: now.Add(aim), Deadline: now.Add(time.Minute),
 		}}
 		d.enqueue(w)
--- /dev/null
+++ b/dispatcher/notice_test.go
@@ -0,0 +1,162 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/cataloger"
+)
+
+const testDrain = 2 * time.Second
+
+func newNoticeCore(entries ...cataloger.Entry) *core {
+	c := newTestCore(entries...)
+	c.bounds.Drain = testDrain
+	c.update(entries)
+	return c
+}
+
+var leaves = sycamorevane.Notice{Leaving: true}
+
+// Guards against requests to a server that has said in an answer that it leaves.
+func TestLeavingServer(t *testing.T) {
+	x, y := entry("x", "a", "v1"), entry("y", "b", "v1")
+	at := func(d time.Duration) *view { return newView(start.Add(d)) }
+
+	t.Run("gets nothing while another one can be used", func(t *testing.T) {
+		c := newNoticeCore(x, y)
+		require.True(t, c.notice(start, "x", leaves))
+		for range 50 {
+			require.Equal(t, "y", c.pickID(at(0), ask()))
+		}
+		for range 20 {
+			if got := c.pick(at(0), ask()); got.server != nil {
+				require.Equal(t, "y", got.server.entry.Server.ID, "also when the other one is full")
+				c.start(start, got.server)
+			}
+		}
+	})
+	t.Run("is used for a while when there is no other one", func(t *testing.T) {
+		c := newNoticeCore(x)
+		c.notice(start, "x", leaves)
+		require.Equal(t, "x", c.pickID(at(0), ask()))
+		require.Empty(t, c.pickID(at(testDrain/2), ask()), "requests on their way need the rest of the time")
+	})
+	t.Run("stays so", func(t *testing.T) {
+		c := newNoticeCore(x)
+		c.notice(start, "x", leaves)
+		later := at(testDrain)
+		c.update(nil)
+		c.update([]cataloger.Entry{x})
+		require.Empty(t, c.pickID(later, ask()), "it was missing in the catalog")
+		ready := x
+		ready.Sequence, ready.Heard = 9, later.now
+		c.update([]cataloger.Entry{ready})
+		require.Empty(t, c.pickID(later, ask()), "it reports as ready")
+		require.False(t, c.notice(later.now, "x", leaves), "it says so again")
+		require.Empty(t, c.pickID(later, ask()))
+		c.notice(start.Add(time.Minute), "y", leaves)
+		require.Empty(t, c.pickID(at(time.Minute), ask()))
+	})
+	t.Run("may start again", func(t *testing.T) {
+		c := newNoticeCore(x)
+		c.notice(start, "x", leaves)
+		again := entry("x@2", "a", "v1")
+		again.Server.Label = "x"
+		c.update([]cataloger.Entry{again})
+		require.Equal(t, "x@2", c.pickID(at(testDrain), ask()))
+	})
+	t.Run("of a single version", func(t *testing.T) {
+		c := newNoticeCore(x, entry("z", "a", "v2"))
+		c.notice(start, "x", leaves)
+		v := at(0)
+		v.state.Serving = map[string]string{"s": "v1"}
+		require.Equal(t, "x", c.pickID(v, ask()))
+	})
+	t.Run("is not asked for its load", func(t *testing.T) {
+		st := newState()
+		d := newTestDispatcher(st, x)
+		d.core.update([]cataloger.Entry{x})
+		d.core.pool("s").asked = time.Now()
+		require.NotEmpty(t, d.Probes(time.Now()))
+		d.Probed(time.Now(), "x", ProbeResult{Answered: true, Cold: -1})
+		d.Notice("x", leaves)
+		d.core.pool("s").asked = time.Now()
+		require.Empty(t, d.Probes(time.Now().Add(time.Second/2)))
+	})
+}
+
+// Guards against requests to a server that has asked for none for a while.
+func TestServerThatAskedForNoRequests(t *testing.T) {
+	x, y := entry("x", "a", "v1"), entry("y", "b", "v1")
+	pause := sycamorevane.Notice{Pause: 3 * time.Second}
+
+	t.Run("it gets none until then", func(t *testing.T) {
+		c := newNoticeCore(x, y)
+		require.True(t, c.notice(start, "x", pause))
+		require.False(t, c.notice(start, "x", sycamorevane.Notice{Pause: time.Second}), "a shorter time changes nothing")
+		for after := time.Duration(0); after < pause.Pause; after += 100 * time.Millisecond {
+			require.Equal(t, "y", c.pickID(newView(start.Add(after)), ask()))
+		}
+		found := false
+		for range 50 {
+			found = found || c.pickID(newView(start.Add(pause.Pause)), ask()) == "x"
+		}
+		require.True(t, found)
+	})
+	t.Run("without another one requests are refused at once until then", func(t *testing.T) {
+		d := newTestDispatcher(newState(), x)
+		d.Update()
+		d.Notice("x", pause)
+		began := time.Now()
+		_, err := d.Acquire(context.Background(), deadlineAsk(time.Second))
+		refused := expectRefused(t, err)
+		require.Less(t, time.Since(began), 20*time.Millisecond)
+		require.InDelta(t, pause.Pause.Seconds(), refused.After.Seconds(), 1)
+		require.GreaterOrEqual(t, refused.After, pause.Pause-100*time.Millisecond)
+	})
+	t.Run("requests that wait already are refused, too", func(t *testing.T) {
+		d := newTestDispatcher(newState(), x)
+		d.Update()
+		for range 3 {
+			_, err := d.Acquire(context.Background(), deadlineAsk(time.Second))
+			require.NoError(t, err)
+		}
+		ended := make(chan error, 1)
+		go func() {
+			_, err := d.Acquire(context.Background(), deadlineAsk(10*time.Second))
+			ended <- err
+		}()
+		require.Eventually(t, func() bool {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			return len(d.queue["s"]) == 1
+		}, time.Second, time.Millisecond)
+		d.Notice("x", pause)
+		select {
+		case err := <-ended:
+			expectRefused(t, err)
+		case <-time.After(200 * time.Millisecond):
+			t.Fatal("the request still waits")
+		}
+	})
+	t.Run("it is not asked for its load", func(t *testing.T) {
+		d := newTestDispatcher(newState(), x)
+		d.Update()
+		d.core.pool("s").asked = time.Now()
+		d.Notice("x", pause)
+		require.Empty(t, d.Probes(time.Now()))
+		d.core.byID["x"].tells = true
+		quiet, list := d.quiet(time.Now(), "x")
+		require.True(t, quiet)
+		require.Empty(t, list)
+	})
+}
+
+func deadlineAsk(d time.Duration) sycamorevane.Ask {
+	return sycamorevane.Ask{Service: "s", Route: "r", Deadline: time.Now().Add(d)}
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -418,6 +418,7 @@
 			return errMismatch
 		}
 	}
+	a.c.f.notice(&a.grant.Server, resp)
 	switch {
 	case a.c.f.d.notRun(resp):
 	case a.c.f.d.Proof != "" && len(echoes) == 0:
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -50,6 +50,8 @@
 	// not say.
 	Instance string
 	Cold     string
+	// Leaving is the header by which a server says in any answer that it takes no new work; empty when servers do not.
+	Leaving string
 	// Load reads what a server says of its load; nil when servers say nothing.
 	Load func(http.Header) *sycamorevane.Load
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -80,6 +80,8 @@
 	Slow func(server string) bool
 	// AwaitQuiet returns when work on a server does not take much longer than usual, or at the given time; nil for at once.
 	AwaitQuiet func(ctx context.Context, server string, until time.Time)
+	// Notice receives what a server asks for in the header of an answer, before the answer is passed on; nil ignores it.
+	Notice func(server string, n sycamorevane.Notice)
 	// Link is what the host's link carries, in Mbit/s; 0 when unknown.
 	Link float64
 	// HedgeWait is how long the limiter may take to choose a server for a second attempt; 0 for the default.
--- a/parser/open.go
+++ b/parser/open.go
@@ -63,6 +63,8 @@
 	Heartbeat time.Duration
 	// Grace is the time from the order to stop to the end by force.
 	Grace time.Duration
+	// Drain is the time after which a server that has said that it leaves gets no new work; 0 when the deployment sets none.
+	Drain time.Duration
 	// TTL is the longest time that callers may keep the directory's answer.
 	TTL time.Duration
 	// RetryShare and RetrySlack bound the requests that are sent once more within some seconds and over all entries: a
@@ -152,6 +154,7 @@
 	return []field{
 		{"heartbeat", true, millis(&b.Heartbeat)},
 		{"grace", true, seconds(&b.Grace)},
+		{"drain", false, millis(&b.Drain)},
 		{"ttl", true, seconds(&b.TTL)},
 		{"retryshare", true, number(&b.RetryShare)},
 		{"retryslack", true, number(&b.RetrySlack)},
--- a/parser/open_test.go
+++ b/parser/open_test.go
@@ -30,6 +30,7 @@
 [bounds]
 heartbeat = 1500
 grace = 6
+drain = 2500
 ttl = 5
 retryshare = 0.2
 retryslack = 60
@@ -45,6 +46,7 @@
 	require.Equal(t, []string{"10.1.0.13:7720", "10.2.0.43:7720"}, s.SeedMeshes())
 	require.Equal(t, 1500*time.Millisecond, s.Bounds.Heartbeat)
 	require.Equal(t, 6*time.Second, s.Bounds.Grace)
+	require.Equal(t, 2500*time.Millisecond, s.Bounds.Drain)
 	require.True(t, s.First)
 	require.Nil(t, s.Entry)
 	require.Equal(t, "/data/control", s.Control.Data)
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -83,7 +83,7 @@
 	})
 	b := o.cfg.Settings.Bounds
 	e.place = dispatcher.New(dispatcher.Config{
-		DC: o.cfg.Settings.DC, Bounds: dispatcher.Bounds{ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack},
+		DC: o.cfg.Settings.DC, Bounds: dispatcher.Bounds{ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, Drain: b.Drain},
 		Servers: e.catalog.All, State: e.sub.State, Blocked: e.collector.Blocked, Share: e.share,
 		Probe: func(p dispatcher.Probe) { go e.probe(p) },
 		Log:   o.cfg.Log, Metrics: o.metrics,
@@ -92,7 +92,8 @@
 		Self: o.cfg.Settings.Name, Limiter: e.place, State: e.sub.State, Dialect: o.cfg.Adapter.Dialect(),
 		Observe: e.collector.Observe, First: e.sub.First(), Grace: answerGrace, Leaving: e.leaving.Load, Dial: openDial,
 		Peers:      func() int { return int(max(1, e.entries.Load())) },
-		RetryBurst: e.retryBurst, Slow: e.place.Slow, AwaitQuiet: e.place.AwaitQuiet, Link: o.cfg.Settings.Link, HedgeWait: openHedge, Log: o.cfg.Log, Metrics: o.metrics,
+		RetryBurst: e.retryBurst, Slow: e.place.Slow, AwaitQuiet: e.place.AwaitQuiet, Notice: e.place.Notice,
+		Link: o.cfg.Settings.Link, HedgeWait: openHedge, Log: o.cfg.Log, Metrics: o.metrics,
 	})
 	e.reporter = promoter.NewReporter(promoter.ReporterConfig{
 		Transport: o.mesh, Collector: e.collector, Log: o.cfg.Log, Leader: e.sub.Leader,
--- a/types.go
+++ b/types.go
@@ -132,6 +132,14 @@
 	Stale bool
 }
 
+// Notice is what a server asks for in the header of any of its answers.
+type Notice struct {
+	// Leaving is set when the server takes no new work.
+	Leaving bool
+	// Pause is how long the server wants no request of this host; 0 when it has not said.
+	Pause time.Duration
+}
+
 // Answer is a recorded response to a request with an idempotency key.
 type Answer struct {
 	Status int
