Replace sessions that have gone silent after a second, beside the old ones

Change: a peer that has been silent for 1 s is dialled beside its sessions, at most 0.25 s a try and 0.15 s apart. Sessions are dropped one by one when nothing has come through them for 3 s.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -31,10 +31,13 @@
 	// closeAfter is the silence after which a session is closed and dialled anew, since a connection can go
 	// silent for good while new ones work.
 	closeAfter = 2 * DeadAfter
+	// redialAfter is the silence after which a peer is dialled beside its sessions: two heartbeats are due by then. A host
+	// that lost power is back without them, and its end of a connection may be gone while new ones work.
+	redialAfter = time.Second
 	// dialTimeout is short, since a host that is off does not answer at all and may be back at any moment.
-	dialTimeout    = 700 * time.Millisecond
+	dialTimeout    = 250 * time.Millisecond
 	dialBackoffMin = 50 * time.Millisecond
-	dialBackoffMax = 500 * time.Millisecond
+	dialBackoffMax = 150 * time.Millisecond
 	maxCalls       = 512
 	// maxSessions bounds open connections, authenticated or not, at four times the largest configuration.
 	maxSessions = 4096
@@ -305,9 +308,11 @@
 			continue
 		}
 		m.wg.Go(func() {
-			if err := m.runSession(tls.Server(&countedConn{conn, &m.traffic}, m.id.config()), false, ""); err != nil {
-				m.cfg.Log.V(1).Info("inbound session ended", "remote", conn.RemoteAddr().String(), "reason", err.Error())
+			s, err := m.openSession(tls.Server(&countedConn{conn, &m.traffic}, m.id.config()), false, "")
+			if err == nil {
+				err = m.runSession(s)
 			}
+			m.cfg.Log.V(1).Info("inbound session ended", "remote", conn.RemoteAddr().String(), "reason", err.Error())
 		})
 	}
 }
@@ -318,51 +323,58 @@
 	return len(m.conns)
 }
 
-// dialLoop keeps one session with the peer: it dials while there is none in either direction.
+// dialLoop keeps one session with the peer: it dials while there is none in either direction, or none that is heard.
 func (m *Messenger) dialLoop(p *peer) {
 	backoff := dialBackoffMin
 	for m.ctx.Err() == nil {
 		m.mu.Lock()
-		addr, linked := p.Addr, p.best() != nil
+		addr, linked, quiet := p.Addr, p.best() != nil, time.Until(p.Heard.Add(redialAfter))
 		m.mu.Unlock()
 		if addr == "" {
 			return
 		}
-		if linked {
-			m.waitLost(p)
+		if linked && quiet > 0 {
+			m.waitLost(p, quiet)
 			continue
 		}
 		if !m.allowed(p.Name) {
 			m.pause(dialBackoffMin)
 			continue
 		}
-		began := time.Now()
-		if err := m.dial(p.Name, addr); err != nil {
-			m.cfg.Log.V(1).Info("outbound session ended", "peer", p.Name, "addr", addr, "reason", err.Error())
-		}
-		if time.Since(began) > DeadAfter {
-			backoff = dialBackoffMin
+		s, err := m.dial(p.Name, addr)
+		if err != nil {
+			m.cfg.Log.V(1).Info("no session", "peer", p.Name, "addr", addr, "reason", err.Error())
+			m.pause(backoff/2 + time.Duration(rand.Int64N(int64(backoff))))
+			backoff = min(2*backoff, dialBackoffMax)
+			continue
 		}
-		m.pause(backoff/2 + time.Duration(rand.Int64N(int64(backoff))))
-		backoff = min(2*backoff, dialBackoffMax)
+		backoff = dialBackoffMin
+		m.wg.Go(func() {
+			err := m.runSession(s)
+			m.cfg.Log.V(1).Info("outbound session ended", "peer", p.Name, "addr", addr, "reason", err.Error())
+		})
+		m.pause(dialBackoffMin) // A peer that ends sessions at once is not dialled without end.
 	}
 }
 
-// waitLost returns when a session with the peer has ended or its address has changed.
-func (m *Messenger) waitLost(p *peer) {
+// waitLost returns when a session with the peer has ended, its address has changed or the time is over.
+func (m *Messenger) waitLost(p *peer, limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
 	select {
 	case <-p.lost:
+	case <-t.C:
 	case <-m.ctx.Done():
 	}
 }
 
-func (m *Messenger) dial(name, addr string) error {
+func (m *Messenger) dial(name, addr string) (*session, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(m.ctx, "tcp", addr)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
-	return m.runSession(tls.Client(&countedConn{conn, &m.traffic}, m.id.config()), true, name)
+	return m.openSession(tls.Client(&countedConn{conn, &m.traffic}, m.id.config()), true, name)
 }
 
 func (m *Messenger) pause(d time.Duration) {
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -38,7 +39,8 @@
 	// sent is the peer's clock in its last heartbeat, which arrived at got.
 	sent uint64
 	got  time.Time
-	// sessions holds the live sessions, oldest first. Two exist for a while when both sides dial at once.
+	// sessions holds the live sessions, the one that is used first. Two exist for a while when both sides dial at once, and
+	// when one replaces another that is silent.
 	sessions []*session
 }
 
@@ -49,6 +51,9 @@
 	return p.sessions[0]
 }
 
+// silent reports whether the peer should be dialled beside its sessions.
+func (p *peer) silent(now time.Time) bool { return now.Sub(p.Heard) >= redialAfter }
+
 func (p *peer) signal() {
 	select {
 	case p.lost <- struct{}{}:
@@ -63,20 +68,24 @@
 }
 
 func (p *peer) dropSilent(now time.Time) {
-	if now.Sub(p.Heard) < closeAfter {
-		return
+	for _, s := range p.sessions {
+		if now.Sub(s.heard) >= closeAfter {
+			s.close()
+		}
 	}
-	p.closeSessions()
 }
 
 // session is one authenticated connection with two ordered streams.
 type session struct {
+	conn    *tls.Conn
 	mux     *yamux.Session
 	streams [2]net.Conn
 	queues  [2]*sycamorevane.Ring[*encoder.Envelope]
 	name    string
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// heard is when the last message arrived; Messenger.mu guards it.
+	heard  time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 func (s *session) close() {
@@ -95,39 +104,61 @@
 	return nil
 }
 
-// runSession runs one connection from handshake to end and returns why it ended.
-func (m *Messenger) runSession(conn *tls.Conn, dialled bool, want string) error {
+// openSession begins a session on the connection. The caller runs it with runSession.
+func (m *Messenger) openSession(conn *tls.Conn, dialled bool, want string) (*session, error) {
 	m.mu.Lock()
 	m.conns[conn] = struct{}{}
 	m.mu.Unlock()
-	defer func() {
-		_ = conn.Close()
-		m.mu.Lock()
-		delete(m.conns, conn)
-		m.mu.Unlock()
-	}()
+	s, err := m.greet(conn, dialled, want)
+	if err != nil {
+		m.closeConn(conn)
+		return nil, errors.Trace(err)
+	}
+	s.conn = conn
+	return s, nil
+}
+
+func (m *Messenger) closeConn(conn *tls.Conn) {
+	_ = conn.Close()
+	m.mu.Lock()
+	delete(m.conns, conn)
+	m.mu.Unlock()
+}
+
+// greet returns a session that is known under the name of its peer.
+func (m *Messenger) greet(conn *tls.Conn, dialled bool, want string) (*session, error) {
 	if m.ctx.Err() != nil {
-		return errors.Trace(m.ctx.Err())
+		return nil, errors.Trace(m.ctx.Err())
 	}
-	s, hello, err := m.handshake(conn, dialled)
+	s, hello, err := m.handshake(conn, dialled, want)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
-	defer s.close()
-	if want != "" && hello.Name != want {
-		return errors.Errorf("host at this address is %q, want %q", hello.Name, want)
+	switch {
+	case want != "" && hello.Name != want:
+		err = errors.Errorf("host at this address is %q, want %q", hello.Name, want)
+	case hello.Name == "" || hello.Name == m.cfg.Self:
+		err = errors.Errorf("peer calls itself %q", hello.Name)
 	}
-	if hello.Name == "" || hello.Name == m.cfg.Self {
-		return errors.Errorf("peer calls itself %q", hello.Name)
+	if err != nil {
+		s.close()
+		return nil, err
 	}
 	s.name = hello.Name
 	m.addSession(s, hello)
+	return s, nil
+}
+
+// runSession runs a session until its end and returns why it ended.
+func (m *Messenger) runSession(s *session) error {
+	defer m.closeConn(s.conn)
+	defer s.close()
 	defer m.removeSession(s)
 	return m.serveStreams(s)
 }
 
 // handshake authenticates the peer, opens both streams and exchanges hellos.
-func (m *Messenger) handshake(conn *tls.Conn, dialled bool) (*session, *encoder.Hello, error) {
+func (m *Messenger) handshake(conn *tls.Conn, dialled bool, want string) (*session, *encoder.Hello, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, handshakeTimeout)
 	defer cancel()
 	if err := conn.HandshakeContext(ctx); err != nil {
@@ -149,7 +180,7 @@
 	s.ctx, s.cancel = context.WithCancel(m.ctx)
 	s.queues[0] = sycamorevane.NewRing[*encoder.Envelope](urgentQueue)
 	s.queues[1] = sycamorevane.NewRing[*encoder.Envelope](bulkQueue)
-	hello, err := m.exchangeHello(s, dialled)
+	hello, err := m.exchangeHello(s, dialled, want)
 	if err != nil {
 		s.close()
 		return nil, nil, errors.Trace(err)
@@ -157,7 +188,7 @@
 	return s, hello, nil
 }
 
-func (m *Messenger) exchangeHello(s *session, dialled bool) (*encoder.Hello, error) {
+func (m *Messenger) exchangeHello(s *session, dialled bool, want string) (*encoder.Hello, error) {
 	for i := range s.streams {
 		stream, err := m.stream(s, dialled)
 		if err != nil {
@@ -171,11 +202,11 @@
 	var err error
 	// The accepting side reads first, so that it answers nothing to a peer that its filter drops.
 	if dialled {
-		if err = m.writeHello(s.streams[0]); err == nil {
+		if err = m.writeHello(s.streams[0], m.replaces(want)); err == nil {
 			err = m.readHello(s.streams[0], theirs)
 		}
 	} else if err = m.readHello(s.streams[0], theirs); err == nil {
-		err = m.writeHello(s.streams[0])
+		err = m.writeHello(s.streams[0], false)
 	}
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -184,9 +215,17 @@
 	return theirs, nil
 }
 
-func (m *Messenger) writeHello(w io.Writer) error {
+// replaces reports whether a session is dialled because the peer is silent on others.
+func (m *Messenger) replaces(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.peers[name]
+	return ok && p.best() != nil && p.silent(time.Now())
+}
+
+func (m *Messenger) writeHello(w io.Writer, replaces bool) error {
 	_, err := protodelim.MarshalTo(w, &encoder.Hello{
-		Name: m.cfg.Self, Dc: m.cfg.DC, Roles: m.cfg.Roles.Sorted(), Addr: m.Addr(), Boot: m.boot,
+		Name: m.cfg.Self, Dc: m.cfg.DC, Roles: m.cfg.Roles.Sorted(), Addr: m.Addr(), Boot: m.boot, Replaces: replaces,
 	})
 	return err
 }
@@ -235,9 +274,15 @@
 	p.DC = hello.Dc
 	p.Roles = sycamorevane.NewSet(hello.Roles...)
 	p.Boot = hello.Boot
-	p.Heard = time.Now()
-	p.sessions = append(p.sessions, s)
-	m.cfg.Log.Info("session opened", "peer", hello.Name, "dc", hello.Dc)
+	now := time.Now()
+	replaces := hello.Replaces || p.silent(now)
+	p.Heard, s.heard = now, now
+	if replaces {
+		p.sessions = slices.Insert(p.sessions, 0, s)
+	} else {
+		p.sessions = append(p.sessions, s)
+	}
+	m.cfg.Log.Info("session opened", "peer", hello.Name, "dc", hello.Dc, "others", len(p.sessions)-1, "replaces", replaces)
 }
 
 func (m *Messenger) removeSession(s *session) {
@@ -320,7 +365,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	m.heard(s.name)
+	m.heard(s)
 	if beat, ok := msg.(*encoder.Heartbeat); ok {
 		m.measure(s.name, beat)
 		return nil
@@ -375,10 +420,11 @@
 	}
 }
 
-func (m *Messenger) heard(name string) {
+func (m *Messenger) heard(s *session) {
 	now := time.Now()
 	m.mu.Lock()
-	if p, ok := m.peers[name]; ok {
+	s.heard = now
+	if p, ok := m.peers[s.name]; ok {
 		p.Heard = now
 	}
 	m.mu.Unlock()
