Push what has changed in the state, at most every 50 ms

Cause: each change went out as the whole state to every entry that lacked it.

Changes within 50 ms go out as one push. An entry applies a difference only to the very state that it starts from, and asks otherwise.

Tests: TestPushesBringWhatChanged (400 ends, at most 300 bytes each), TestChangeLeadsToTheState, which found that an empty part could not be told from one that is the same.

--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -1,13 +1,11 @@
-// Package publisher pushes the committed state from the control leader to all entries and keeps track of which
-// version each entry has in force.
+// Package publisher pushes the committed state from control hosts to entries and keeps track of which version each entry
+// has in force. In a deployment that lists its hosts the leader pushes to all entries; in an open one each control host
+// pushes to those that follow it.
 package publisher
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"encoding/json"
-	"io"
+	"maps"
 	"sync"
 	"time"
 
@@ -22,6 +20,8 @@
 const (
 	// pushInterval renews the entries' contact with control; three are missed within subscriber.ContactLimit.
 	pushInterval = time.Second
+	// pushGap is the least time between two pushes. Changes that come closer together go out as one.
+	pushGap = 50 * time.Millisecond
 	// ackLife is how long an acknowledgement counts an entry as reached.
 	ackLife = 3 * time.Second
 	// maxState bounds the decoded state in bytes.
@@ -34,8 +34,13 @@
 	Transport sycamorevane.Transport
 	// State returns the state that this control host has applied.
 	State func() *sycamorevane.State
-	// Leader reports whether this host leads with a quorum, and its term.
+	// Leader reports whether this host pushes, and the term: whether it leads with a quorum or, where each control host
+	// pushes, whether it is in contact with the leader.
 	Leader func() (bool, uint64)
+	// Apart makes a host that does not push say so to its entries, which then follow another one.
+	Apart bool
+	// Follows reports whether an entry takes the state from this host; to others only the version is told. Nil for all.
+	Follows func(entry string) bool
 	// Read returns after this host has applied everything committed before the call.
 	Read func(context.Context) error
 	// Entries lists the entries to push to; nil for those of the configuration.
@@ -65,9 +70,12 @@
 
 	mu   sync.Mutex
 	acks map[string]Ack
+	// sent is the version that each entry that follows was last sent, in the order of its session.
+	sent map[string]uint64
 	// encoded caches the encoding of one version.
 	encoded []byte
 	version uint64
+	history history
 }
 
 // New registers the message handlers. Start begins to push while this host leads.
@@ -81,8 +89,13 @@
 	if cfg.First == nil {
 		cfg.First = func(st *sycamorevane.State) bool { return len(st.Config.Services) > 0 }
 	}
+	if cfg.Follows == nil {
+		cfg.Follows = func(string) bool { return true }
+	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &Publisher{cfg: cfg, ctx: ctx, stop: stop, wake: make(chan struct{}, 1), acks: make(map[string]Ack)}
+	p := &Publisher{
+		cfg: cfg, ctx: ctx, stop: stop, wake: make(chan struct{}, 1), acks: make(map[string]Ack), sent: make(map[string]uint64),
+	}
 	cfg.Transport.Handle(&encoder.StateAck{}, p.onAck)
 	cfg.Transport.Handle(&encoder.StateAsk{}, p.onAsk)
 	return p
@@ -146,28 +159,85 @@
 			return
 		}
 		p.push()
+		select {
+		case <-time.After(pushGap):
+		case <-p.ctx.Done():
+			return
+		}
 	}
 }
 
-// push tells every entry the current version, with the state itself for those that have an older one.
+// push tells every entry the current version, with the change to it for those that follow this host and have an older one.
 func (p *Publisher) push() {
 	leads, term := p.cfg.Leader()
 	st := p.cfg.State()
 	if !leads || st == nil {
+		p.pushApart()
 		return
 	}
 	acks := p.Acks()
 	complete := p.cfg.Complete()
-	for _, name := range p.cfg.Entries() {
+	entries := p.cfg.Entries()
+	p.begin(st, entries)
+	for _, name := range entries {
 		m := &encoder.StatePush{Version: st.Version, Term: term, Leader: p.cfg.Transport.Self()}
-		if a, ok := acks[name]; ok && a.Version < st.Version {
-			m.State = p.encode(st)
+		if a, ok := acks[name]; ok && p.cfg.Follows(name) {
+			p.addState(m, name, a.Version, st)
 		}
 		complete(m, name)
 		_ = p.cfg.Transport.Send(name, m) // An entry without a session asks when it comes back.
 	}
 }
 
+// begin notes the state that a push brings, and forgets what was sent to entries that are gone.
+func (p *Publisher) begin(st *sycamorevane.State, entries []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.history.add(st)
+	if len(p.sent) <= 2*len(entries) {
+		return
+	}
+	listed := sycamorevane.NewSet(entries...)
+	maps.DeleteFunc(p.sent, func(name string, _ uint64) bool { return !listed.Has(name) })
+}
+
+// pushApart tells the entries that this host does not know what is in force.
+func (p *Publisher) pushApart() {
+	if !p.cfg.Apart {
+		return
+	}
+	for _, name := range p.cfg.Entries() {
+		_ = p.cfg.Transport.Send(name, &encoder.StatePush{Apart: true})
+	}
+}
+
+// addState adds what leads from the version that the entry has, or was sent last, to the present state.
+func (p *Publisher) addState(m *encoder.StatePush, name string, has uint64, st *sycamorevane.State) {
+	p.mu.Lock()
+	base := max(has, p.sent[name])
+	p.sent[name] = st.Version
+	p.mu.Unlock()
+	if base < st.Version {
+		p.fill(m, base, st)
+	}
+}
+
+// fill adds the change from the base or, when that is not known any more, the whole state.
+func (p *Publisher) fill(m *encoder.StatePush, base uint64, st *sycamorevane.State) {
+	p.mu.Lock()
+	p.history.add(st)
+	data, ok, err := p.history.since(base)
+	p.mu.Unlock()
+	if err != nil {
+		p.cfg.Log.Error(err, "change of the state cannot be encoded", "base", base, "version", st.Version)
+	}
+	if ok {
+		m.Base, m.Change = base, data
+		return
+	}
+	m.State = p.encode(st)
+}
+
 func (p *Publisher) encode(st *sycamorevane.State) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -208,33 +278,22 @@
 	}
 	reply := &encoder.StatePush{Version: st.Version, Leader: p.cfg.Transport.Self()}
 	if ask.Have < st.Version {
-		reply.State = p.encode(st)
+		p.fill(reply, ask.Have, st)
 	}
+	p.mu.Lock()
+	p.sent[from] = max(p.sent[from], st.Version)
+	p.mu.Unlock()
 	p.cfg.Complete()(reply, from)
 	return reply
 }
 
 // Encode returns the compressed form of a state.
-func Encode(st *sycamorevane.State) ([]byte, error) {
-	var buf bytes.Buffer
-	w := gzip.NewWriter(&buf)
-	if err := json.NewEncoder(w).Encode(st); err != nil {
-		return nil, errors.Trace(err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Trace(err)
-	}
-	return buf.Bytes(), nil
-}
+func Encode(st *sycamorevane.State) ([]byte, error) { return pack(st) }
 
 // Decode reads what Encode wrote; it refuses a state above 64 MiB.
 func Decode(data []byte) (*sycamorevane.State, error) {
-	r, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
 	st := &sycamorevane.State{}
-	if err := json.NewDecoder(io.LimitReader(r, maxState)).Decode(st); err != nil {
+	if err := unpack(data, st); err != nil {
 		return nil, errors.Trace(err)
 	}
 	return st, nil
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -1,6 +1,8 @@
 package publisher
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -49,3 +51,111 @@
 		require.Equal(t, []string{name}, out.sent[name].Members)
 	}
 }
+
+func leavers(n int) map[string]int64 {
+	list := make(map[string]int64, n)
+	for i := range n {
+		list[fmt.Sprintf("i-%08x@1791063396%03d", i*2654435761, i)] = int64(i)
+	}
+	return list
+}
+
+func expectSame(t *testing.T, want, got *sycamorevane.State) {
+	t.Helper()
+	a, err := json.Marshal(want)
+	require.NoError(t, err)
+	b, err := json.Marshal(got)
+	require.NoError(t, err)
+	require.JSONEq(t, string(a), string(b))
+}
+
+// Guards against changes after which an entry has another state than control.
+func TestChangeLeadsToTheState(t *testing.T) {
+	base := &sycamorevane.State{
+		Version: 3, Config: sycamorevane.Config{Number: 1, Services: []sycamorevane.Service{{Name: "s"}}},
+		DrainedDCs: map[string]int64{"a": 1}, DrainedServers: leavers(5), Returned: map[string]int64{},
+		Rollouts: map[string]sycamorevane.Rollout{"s": {To: "v2"}}, Serving: map[string]string{"s": "v1"},
+	}
+	cases := map[string]func(st *sycamorevane.State){
+		"nothing":           func(*sycamorevane.State) {},
+		"configuration":     func(st *sycamorevane.State) { st.Config = sycamorevane.Config{Number: 2} },
+		"data centre out":   func(st *sycamorevane.State) { st.DrainedDCs = map[string]int64{"a": 1, "b": 2} },
+		"data centres back": func(st *sycamorevane.State) { st.DrainedDCs, st.Returned = nil, map[string]int64{"a": 4} },
+		"rollout": func(st *sycamorevane.State) {
+			st.Rollouts = map[string]sycamorevane.Rollout{"s": {To: "v2", Share: 0.1}}
+		},
+		"serving":               func(st *sycamorevane.State) { st.Serving = map[string]string{"s": "v2"} },
+		"servers leave":         func(st *sycamorevane.State) { st.DrainedServers = leavers(9) },
+		"servers are forgotten": func(st *sycamorevane.State) { st.DrainedServers = leavers(2) },
+		"all are forgotten":     func(st *sycamorevane.State) { st.DrainedServers = nil },
+	}
+	for name, edit := range cases {
+		t.Run(name, func(t *testing.T) {
+			next := *base
+			next.Version = 9
+			edit(&next)
+			h := history{}
+			h.add(base)
+			h.add(&next)
+			data, ok, err := h.since(3)
+			require.NoError(t, err)
+			require.True(t, ok)
+			got, err := Apply(base, data)
+			require.NoError(t, err)
+			if len(next.DrainedServers) == 0 {
+				next.DrainedServers = got.DrainedServers
+				require.Empty(t, got.DrainedServers)
+			}
+			expectSame(t, &next, got)
+			require.EqualValues(t, 3, base.Version, "the former state stays as it is")
+			require.Len(t, base.DrainedServers, 5)
+		})
+	}
+	_, err := Apply(base, []byte("not gzip"))
+	require.Error(t, err)
+}
+
+// Guards against pushes that grow with all that ever left: each of hundreds of ends went to each entry as a whole state.
+func TestPushesBringWhatChanged(t *testing.T) {
+	const servers, entries = 400, 100
+	st := &sycamorevane.State{Version: 1, Config: sycamorevane.Config{Number: 1, Document: make([]byte, 20000)}}
+	out := &outbox{sent: make(map[string]*encoder.StatePush)}
+	var names []string
+	for i := range entries {
+		names = append(names, fmt.Sprintf("e%d", i))
+	}
+	p := New(Config{
+		Transport: out, Log: logr.Discard(), State: func() *sycamorevane.State { return st },
+		Leader: func() (bool, uint64) { return true, 1 }, Entries: func() []string { return names },
+		Follows: func(name string) bool { return name != "e1" },
+	})
+	for _, name := range names {
+		p.onAck(name, &encoder.StateAck{Version: 1})
+	}
+	p.push()
+	largest := 0
+	for i := range servers {
+		st = &sycamorevane.State{Version: uint64(i + 2), Config: st.Config, DrainedServers: leavers(i + 1)}
+		p.push()
+		require.EqualValues(t, st.Version, out.sent["e0"].Version)
+		require.EqualValues(t, i+1, out.sent["e0"].Base, "what was sent counts before it is acknowledged")
+		require.Empty(t, out.sent["e0"].State)
+		require.Empty(t, out.sent["e1"].Change, "an entry that follows another host is told the version only")
+		require.EqualValues(t, st.Version, out.sent["e1"].Version)
+		largest = max(largest, len(out.sent["e0"].Change))
+	}
+	require.Less(t, largest, 300, "bytes of a change of one server")
+
+	t.Run("an entry that is far behind gets the whole", func(t *testing.T) {
+		m := &encoder.StatePush{}
+		p.fill(m, 2, st)
+		require.NotEmpty(t, m.State)
+		require.Empty(t, m.Change)
+	})
+	t.Run("a host without contact says so", func(t *testing.T) {
+		p.cfg.Leader = func() (bool, uint64) { return false, 1 }
+		p.cfg.Apart = true
+		p.push()
+		require.True(t, out.sent["e0"].Apart)
+	})
+}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -37,7 +37,7 @@
 	Controls func() []string
 	// Alone lets the entry serve with its last state also when it is cut off from control and its peers.
 	Alone bool
-	// Pushed, when set, receives each push of a control leader.
+	// Pushed, when set, receives each push of a control host, also of one that is out of contact with the leader.
 	Pushed func(from string, m *encoder.StatePush)
 	// Changed is called after a new state has come into force, in version order.
 	Changed func(*sycamorevane.State)
@@ -65,7 +65,9 @@
 	cutOff   bool
 	// pending is the highest version that control has announced.
 	pending uint64
-	leader  string
+	// leader is the control host that leads, source the one that pushed last.
+	leader string
+	source string
 }
 
 // New registers the message handlers. Start begins to follow control.
@@ -107,7 +109,7 @@
 	return !s.cutOff
 }
 
-// Leader is the control host that pushed last, or "" before the first push.
+// Leader is the control host that leads as far as known, or "" before the first push.
 func (s *Subscriber) Leader() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,7 +211,7 @@
 	}
 }
 
-// controls lists the control hosts with the last known leader first.
+// controls lists the control hosts with the one that pushed last first.
 func (s *Subscriber) controls() []string {
 	names := s.cfg.Control
 	if s.cfg.Controls != nil {
@@ -218,14 +220,14 @@
 		names = st.Config.HostsWith(sycamorevane.RoleControl)
 	}
 	s.mu.Lock()
-	leader := s.leader
+	source := s.source
 	s.mu.Unlock()
 	ordered := make([]string, 0, len(names)+1)
-	if leader != "" {
-		ordered = append(ordered, leader)
+	if source != "" {
+		ordered = append(ordered, source)
 	}
 	for _, n := range names {
-		if n != leader {
+		if n != source {
 			ordered = append(ordered, n)
 		}
 	}
@@ -243,12 +245,18 @@
 // pushing leader may have been cut off from its quorum a moment ago.
 func (s *Subscriber) onPush(from string, m proto.Message) proto.Message {
 	push, _ := m.(*encoder.StatePush)
+	if push.Apart {
+		if s.cfg.Pushed != nil {
+			s.cfg.Pushed(from, push)
+		}
+		return nil
+	}
 	s.mu.Lock()
-	s.leader = from
+	s.leader, s.source = push.Leader, from
 	s.pending = max(s.pending, push.Version)
 	s.mu.Unlock()
 	s.contacted()
-	if s.State() != nil && len(push.State) > 0 {
+	if s.State() != nil && (len(push.State) > 0 || len(push.Change) > 0) {
 		s.adopt(push)
 	}
 	if s.version() < push.Version {
@@ -280,18 +288,20 @@
 	if push.Version <= s.version() && s.State() != nil {
 		return true
 	}
-	if len(push.State) == 0 {
-		return false
-	}
-	st, err := publisher.Decode(push.State)
+	cur := s.State()
+	st, err := read(push, cur)
 	if err != nil {
-		s.cfg.Log.Error(errors.Trace(err), "state from control cannot be read", "version", push.Version)
+		s.cfg.Log.Error(errors.Trace(err), "state from control cannot be read", "version", push.Version, "base", push.Base)
+	}
+	if st == nil {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if cur := s.State(); cur != nil && st.Version <= cur.Version {
+	if now := s.State(); now != cur && now.Version >= st.Version {
 		return true
+	} else if now != cur && len(push.State) == 0 {
+		return false // Another push has changed what the change started from.
 	}
 	if s.state.Swap(st) == nil {
 		close(s.first)
@@ -300,3 +310,14 @@
 	s.cfg.Changed(st)
 	return true
 }
+
+// read returns the state that a push brings, or nil when it starts from another state than the present one.
+func read(push *encoder.StatePush, cur *sycamorevane.State) (*sycamorevane.State, error) {
+	switch {
+	case len(push.State) > 0:
+		return publisher.Decode(push.State)
+	case len(push.Change) > 0 && cur != nil && cur.Version == push.Base:
+		return publisher.Apply(cur, push.Change)
+	}
+	return nil, nil
+}
