Entries keep sessions with three control hosts and follow one of them

Cause: every entry kept a session with every control host (8,531 of them on the large deployment) and told each of its presence every second; the leader alone pushed state and servers to all entries. After a loss of power all entries opened all sessions at once, first with the three seeds, which heard the new leader 0.65 s after the others. An entry whose session had ended waited a whole second for the reply to a call on it.

Change: an entry ranks the control hosts by hash and keeps sessions with the first three that answer, with one more each time it has waited 2 s in vain. It follows one of them, which sends it state and servers and tells the other control hosts of it; the others tell it versions only. A host out of contact with the leader says so and is not followed. Calls to the leader go through a control host with a session. Calls end with their session. Seeds are tried one after the other. The directory names no more entries of a data centre than an answer holds; shares of limits are counted over these.

--- a/cataloger/follower.go
+++ b/cataloger/follower.go
@@ -23,6 +23,8 @@
 // FollowerConfig holds what a Follower is built from.
 type FollowerConfig struct {
 	Transport sycamorevane.Transport
+	// Source names the control host whose pushes are taken; nil takes those of all.
+	Source func() string
 	// Changed is called after the servers have changed.
 	Changed func()
 	Log     logr.Logger
@@ -74,8 +76,8 @@
 	return out
 }
 
-// Announced compares the revision that the leader announces with the one here and asks for the catalog when a push
-// was missed. A host that does not lead announces epoch 0; it is asked while no server is known.
+// Announced compares the revision that a control host announces with the one here and asks for the catalog when a push
+// was missed. One without contact to a leader announces epoch 0; it is asked while no server is known.
 func (f *Follower) Announced(from string, epoch, revision uint64) {
 	f.mu.Lock()
 	current := f.epoch == epoch && f.revision >= revision
@@ -83,7 +85,14 @@
 		current = len(f.catalog.entries) > 0
 	}
 	f.mu.Unlock()
-	if current || !f.asking.CompareAndSwap(false, true) {
+	if !current {
+		f.Ask(from)
+	}
+}
+
+// Ask fetches the catalog of a control host without waiting for it.
+func (f *Follower) Ask(from string) {
+	if !f.asking.CompareAndSwap(false, true) {
 		return
 	}
 	f.wg.Go(func() {
@@ -95,21 +104,27 @@
 			f.cfg.Log.Info("catalog not received", "from", from, "reason", err.Error())
 			return
 		}
-		f.onPush(from, reply)
+		f.take(from, reply)
 	})
 }
 
 func (f *Follower) onPush(from string, m proto.Message) proto.Message {
+	if f.cfg.Source == nil || f.cfg.Source() == from {
+		f.take(from, m)
+	}
+	return nil
+}
+
+func (f *Follower) take(from string, m proto.Message) {
 	push, ok := m.(*encoder.CatalogPush)
 	if !ok {
-		return nil
+		return
 	}
 	if f.apply(push) {
 		f.cfg.Changed()
-		return nil
+		return
 	}
 	f.Announced(from, push.Epoch, push.Revision)
-	return nil
 }
 
 // apply merges a push and reports false when one before it is missing.
--- a/cataloger/keeper.go
+++ b/cataloger/keeper.go
@@ -31,11 +31,13 @@
 // KeeperConfig holds what a Keeper is built from.
 type KeeperConfig struct {
 	Transport sycamorevane.Transport
-	// Controls lists the other control hosts, Entries the entries that have a session.
+	// Epoch is new for each start of this host.
+	Epoch uint64
+	// Controls lists the other control hosts, Entries the entries that follow this one.
 	Controls func() []string
 	Entries  func() []string
-	// Leads reports whether this host is the control leader, and its term.
-	Leads func() (bool, uint64)
+	// Leads reports whether this host is the control leader.
+	Leads func() bool
 	// Follows reports whether this host is in contact with a leader, itself included. Without contact reports are
 	// refused, since the leader would take the servers for silent.
 	Follows func() bool
@@ -68,9 +70,8 @@
 	catalog *Catalog
 	// pending are the reports to pass on, by server.
 	pending map[string]Report
-	// pushed is the revision that the entries have been sent in this term of office.
+	// pushed is the revision that the entries have been sent.
 	pushed uint64
-	term   uint64
 	// saved is the revision that the file has.
 	saved uint64
 }
@@ -194,12 +195,14 @@
 	return k.catalog.All()
 }
 
-// Revision is the epoch and revision that entries should have.
+// Revision is the epoch and revision that the entries that follow this host should have; 0 without contact to a leader.
 func (k *Keeper) Revision() (epoch, revision uint64) {
+	if !k.cfg.Follows() {
+		return 0, 0
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.enter(k.cfg.Leads())
-	return k.term, k.pushed
+	return k.cfg.Epoch, k.pushed
 }
 
 func (k *Keeper) signal() {
@@ -230,28 +233,31 @@
 }
 
 func (k *Keeper) sweep(now time.Time) {
-	leads, _ := k.cfg.Leads()
+	follows := k.cfg.Follows()
 	k.mu.Lock()
-	if leads {
+	if follows {
 		k.catalog.Lapse(now, lapseBeats*k.cfg.Interval+lapseSlack)
 	}
 	gone := k.catalog.Forget(now, forgetAfter)
 	k.mu.Unlock()
-	if leads && len(gone) > 0 {
+	if len(gone) > 0 && k.cfg.Leads() {
 		k.cfg.Forgot(gone)
 	}
 }
 
-// flush passes new reports to the other control hosts and, on the leader, changes to the entries.
+// flush passes new reports to the other control hosts, and changes to the entries that follow this one.
 func (k *Keeper) flush(now time.Time) {
-	leads, term := k.cfg.Leads()
+	follows := k.cfg.Follows()
 	k.mu.Lock()
 	var reports []Report
 	for id, r := range k.pending {
 		reports = append(reports, r)
 		delete(k.pending, id)
 	}
-	push := k.nextPush(leads, term, now)
+	var push *encoder.CatalogPush
+	if follows {
+		push = k.nextPush(now)
+	}
 	k.mu.Unlock()
 	if len(reports) > 0 {
 		m := &encoder.Heartbeats{Records: encode(reports)}
@@ -268,28 +274,17 @@
 }
 
 // nextPush returns the changes since the last push, or nil when there are none. It is called with the lock held.
-func (k *Keeper) nextPush(leads bool, term uint64, now time.Time) *encoder.CatalogPush {
-	if !leads {
-		return nil
-	}
-	k.enter(leads, term)
+func (k *Keeper) nextPush(now time.Time) *encoder.CatalogPush {
 	if k.pushed == k.catalog.Revision() {
 		return nil
 	}
 	m := &encoder.CatalogPush{
-		Epoch: term, Base: k.pushed, Revision: k.catalog.Revision(), Records: encode(k.catalog.Since(k.pushed, now)),
+		Epoch: k.cfg.Epoch, Base: k.pushed, Revision: k.catalog.Revision(), Records: encode(k.catalog.Since(k.pushed, now)),
 	}
 	k.pushed = m.Revision
 	return m
 }
 
-// enter begins a term of office. Entries ask for what is older. It is called with the lock held.
-func (k *Keeper) enter(leads bool, term uint64) {
-	if leads && term != k.term {
-		k.term, k.pushed = term, k.catalog.Revision()
-	}
-}
-
 func (k *Keeper) send(to string, m proto.Message) {
 	if err := k.cfg.Transport.Send(to, m); err != nil {
 		k.cfg.Log.V(1).Info("catalog message not sent", "peer", to, "reason", err.Error())
@@ -307,17 +302,16 @@
 	return nil
 }
 
-// onAsk answers an entry that has missed a change. Other hosts than the leader answer without an epoch, for entries that
-// have just started and know no server.
+// onAsk answers an entry that has missed a change or follows this host from now on. Without contact to a leader it answers
+// without an epoch, for entries that have just started and know no server.
 func (k *Keeper) onAsk(string, proto.Message) proto.Message {
-	leads, term := k.cfg.Leads()
+	follows := k.cfg.Follows()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !leads {
+	if !follows {
 		return &encoder.CatalogPush{Full: true, Records: encode(k.catalog.Since(0, time.Now()))}
 	}
-	k.enter(leads, term)
 	return &encoder.CatalogPush{
-		Epoch: term, Revision: k.pushed, Full: true, Records: encode(k.catalog.Since(0, time.Now())),
+		Epoch: k.cfg.Epoch, Revision: k.pushed, Full: true, Records: encode(k.catalog.Since(0, time.Now())),
 	}
 }
--- a/cataloger/keeper_test.go
+++ b/cataloger/keeper_test.go
@@ -74,14 +74,21 @@
 func keeperOn(t *testing.T, w *wire, others []string, leader *string, mu *sync.Mutex) (*Keeper, map[string]bool) {
 	t.Helper()
 	committed := make(map[string]bool)
+	leads := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return *leader == w.self
+	}
 	k := NewKeeper(KeeperConfig{
 		Transport: w, Interval: time.Second, Log: logr.Discard(),
-		Controls: func() []string { return others }, Entries: func() []string { return []string{"entry"} },
-		Leads: func() (bool, uint64) {
-			mu.Lock()
-			defer mu.Unlock()
-			return *leader == w.self, map[string]uint64{"c1": 1, "c2": 2}[*leader]
+		Epoch: map[string]uint64{"c1": 1, "c2": 2}[w.self], Controls: func() []string { return others },
+		Entries: func() []string {
+			if !leads() {
+				return nil // The entry of the tests follows the leader.
+			}
+			return []string{"entry"}
 		},
+		Leads: leads,
 		Follows: func() bool {
 			mu.Lock()
 			defer mu.Unlock()
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -55,6 +55,8 @@
 	Log logr.Logger
 	// Metrics counts the payload bytes sent by message; nil for none.
 	Metrics tally.Scope
+	// Relays, when set, lists peers that pass messages on to hosts without a session here, in order of preference.
+	Relays func() []string
 	// Filter, when set, drops messages to and from peers for which it returns false, and sessions with them that
 	// begin. Tests use it for network partitions that stay silent.
 	Filter func(peer string) bool
@@ -78,13 +80,26 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	calls map[uint64]chan proto.Message
+	calls map[uint64]pendingCall
 	// bytes holds a counter per message name.
 	bytes map[protoreflect.Name]tally.Counter
 	// conns are connections whose handshake has not finished; they are closed on Close.
 	conns map[net.Conn]struct{}
 }
 
+// pendingCall is a call without a reply yet.
+type pendingCall struct {
+	answer chan callResult
+	// session is the one that it was sent on; nil for this host itself.
+	session *session
+}
+
+// callResult ends a call.
+type callResult struct {
+	reply proto.Message
+	err   error
+}
+
 // New checks the configuration and opens the peer listener. Start begins to serve it.
 func New(cfg Config) (*Messenger, error) {
 	id, err := newIdentity(cfg.Key)
@@ -102,7 +117,7 @@
 		callSlot: make(chan struct{}, maxCalls),
 		local:    sycamorevane.NewRing[*encoder.Envelope](urgentQueue),
 		peers:    make(map[string]*peer),
-		calls:    make(map[uint64]chan proto.Message),
+		calls:    make(map[uint64]pendingCall),
 		bytes:    make(map[protoreflect.Name]tally.Counter),
 		conns:    make(map[net.Conn]struct{}),
 	}
@@ -197,30 +212,30 @@
 
 // Send implements sycamorevane.Transport.
 func (m *Messenger) Send(to string, msg proto.Message) error {
-	return m.send(to, msg, 0, false)
+	return m.send(to, msg, 0, "")
 }
 
 // Call implements sycamorevane.Transport.
 func (m *Messenger) Call(ctx context.Context, to string, msg proto.Message) (proto.Message, error) {
 	id := m.nextCall.Add(1)
-	answer := make(chan proto.Message, 1)
+	answer := make(chan callResult, 1)
 	m.mu.Lock()
-	m.calls[id] = answer
+	m.calls[id] = pendingCall{answer: answer}
 	m.mu.Unlock()
 	defer func() {
 		m.mu.Lock()
 		delete(m.calls, id)
 		m.mu.Unlock()
 	}()
-	if err := m.send(to, msg, id, false); err != nil {
+	if err := m.send(to, msg, id, ""); err != nil {
 		return nil, err
 	}
 	select {
-	case reply := <-answer:
-		if reply == nil {
+	case r := <-answer:
+		if r.err == nil && r.reply == nil {
 			return nil, errors.Errorf("peer %q does not answer %s", to, msg.ProtoReflect().Descriptor().Name())
 		}
-		return reply, nil
+		return r.reply, r.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-m.ctx.Done():
@@ -228,8 +243,9 @@
 	}
 }
 
-func (m *Messenger) send(to string, msg proto.Message, id uint64, reply bool) error {
-	env := &encoder.Envelope{Id: id, Reply: reply}
+// send puts a message into the queue of a session. A reply goes through the peer that its call came through.
+func (m *Messenger) send(to string, msg proto.Message, id uint64, via string) error {
+	env := &encoder.Envelope{Id: id, Reply: via != ""}
 	if msg != nil {
 		payload, err := proto.Marshal(msg)
 		if err != nil {
@@ -248,19 +264,72 @@
 	if !m.allowed(to) {
 		return nil // A silent partition gives the sender no error.
 	}
-	m.mu.Lock()
-	p, ok := m.peers[to]
-	var s *session
-	if ok {
-		s = p.best()
-	}
-	m.mu.Unlock()
+	s := m.way(to, via, env)
 	if s == nil {
 		return &sycamorevane.UnreachableError{Peer: to}
 	}
+	if id != 0 && via == "" {
+		m.expect(id, s)
+	}
 	return s.push(env)
 }
 
+// way returns the session for an envelope, and addresses one that a peer has to pass on; nil when there is none.
+func (m *Messenger) way(to, via string, env *encoder.Envelope) *session {
+	if via != "" && via != to {
+		if s := m.session(via); s != nil {
+			env.To = to
+			return s
+		}
+	}
+	if s := m.session(to); s != nil {
+		return s
+	}
+	if m.cfg.Relays == nil {
+		return nil
+	}
+	for _, name := range m.cfg.Relays() {
+		if s := m.session(name); s != nil {
+			env.To = to
+			return s
+		}
+	}
+	return nil
+}
+
+// expect notes the session that the reply to a call comes through.
+func (m *Messenger) expect(id uint64, s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c, ok := m.calls[id]; ok {
+		c.session = s
+		m.calls[id] = c
+	}
+}
+
+// session is the one to send to a peer on, or nil.
+func (m *Messenger) session(name string) *session {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p, ok := m.peers[name]; ok {
+		return p.best()
+	}
+	return nil
+}
+
+// passOn hands an envelope to the host that it is for. Without a session it is dropped, as on a lost connection.
+func (m *Messenger) passOn(from string, env *encoder.Envelope) {
+	s := m.session(env.To)
+	if s == nil || env.From != "" {
+		m.cfg.Log.V(1).Info("message not passed on", "from", from, "to", env.To)
+		return
+	}
+	env.From = from
+	if err := s.push(env); err != nil {
+		m.cfg.Log.V(1).Info("message not passed on", "from", from, "to", env.To, "reason", err.Error())
+	}
+}
+
 // frameOverhead is what an envelope, yamux and TLS add to a payload, in bytes.
 const frameOverhead = 44
 
@@ -397,7 +466,7 @@
 			}
 		}
 		if msg, err := decode(env); err == nil {
-			m.dispatch(m.cfg.Self, env, msg)
+			m.dispatch(m.cfg.Self, m.cfg.Self, env, msg)
 		}
 	}
 }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -181,3 +181,62 @@
 		}
 	})
 }
+
+// Guards against entries that need a session with each control host to reach the leader.
+func TestMessagesArePassedOn(t *testing.T) {
+	relay, leader := start(t, "relay", testKey, nil), start(t, "leader", testKey, nil)
+	entry, err := New(Config{
+		Self: "entry", Listen: "127.0.0.1:0", Key: testKey, Log: logr.Discard(),
+		Relays: func() []string { return []string{"lost", "relay"} },
+	})
+	require.NoError(t, err)
+	from := make(chan string, 1)
+	leader.Handle(&encoder.Leave{}, func(name string, _ proto.Message) proto.Message {
+		from <- name
+		return nil
+	})
+	entry.Start()
+	t.Cleanup(entry.Close)
+	entry.Connect("relay", "", relay.Addr())
+	relay.Connect("leader", "", leader.Addr())
+	expectAlive(t, entry, "relay", true)
+	expectAlive(t, relay, "leader", true)
+	expectReply(t, entry, "leader")
+	require.NoError(t, entry.Send("leader", &encoder.Leave{}))
+	require.Equal(t, "entry", <-from)
+	t.Run("not to hosts that the relay does not know", func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		_, err := entry.Call(ctx, "stranger", &encoder.Announce{})
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+	})
+	t.Run("and not further than one host", func(t *testing.T) {
+		env := &encoder.Envelope{Kind: encoder.Kind(&encoder.Leave{}), To: "leader", From: "somebody"}
+		relay.passOn("entry", env)
+		require.Never(t, func() bool { return len(from) > 0 }, 100*time.Millisecond, 10*time.Millisecond)
+	})
+}
+
+// Guards against a caller that waits for a reply that cannot come any more: its session has ended.
+func TestCallEndsWithItsSession(t *testing.T) {
+	a, b := start(t, "a", testKey, nil), start(t, "b", testKey, nil)
+	called := make(chan struct{})
+	ended := make(chan struct{})
+	b.Handle(&encoder.Leave{}, func(string, proto.Message) proto.Message {
+		close(called)
+		<-ended
+		return nil
+	})
+	a.Connect("b", "dc-a", b.Addr())
+	expectAlive(t, a, "b", true)
+	go func() {
+		<-called
+		a.Forget("b")
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_, err := a.Call(ctx, "b", &encoder.Leave{})
+	close(ended)
+	var unreachable *sycamorevane.UnreachableError
+	require.ErrorAs(t, err, &unreachable)
+}
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"io"
@@ -275,7 +276,7 @@
 	p.Roles = sycamorevane.NewSet(hello.Roles...)
 	p.Boot = hello.Boot
 	now := time.Now()
-	replaces := hello.Replaces || p.silent(now)
+	replaces := len(p.sessions) > 0 && (hello.Replaces || p.silent(now))
 	p.Heard, s.heard = now, now
 	if replaces {
 		p.sessions = slices.Insert(p.sessions, 0, s)
@@ -288,6 +289,12 @@
 func (m *Messenger) removeSession(s *session) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for id, c := range m.calls {
+		if c.session == s {
+			delete(m.calls, id)
+			c.answer <- callResult{err: &sycamorevane.UnreachableError{Peer: s.name}}
+		}
+	}
 	p, ok := m.peers[s.name]
 	if !ok {
 		return
@@ -361,28 +368,32 @@
 }
 
 func (m *Messenger) deliver(s *session, env *encoder.Envelope) error {
+	m.heard(s)
+	if env.To != "" && env.To != m.cfg.Self {
+		m.passOn(s.name, env)
+		return nil
+	}
 	msg, err := decode(env)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	m.heard(s)
 	if beat, ok := msg.(*encoder.Heartbeat); ok {
 		m.measure(s.name, beat)
 		return nil
 	}
-	m.dispatch(s.name, env, msg)
+	m.dispatch(cmp.Or(env.From, s.name), s.name, env, msg)
 	return nil
 }
 
-// dispatch hands a message to the call that waits for it or to the handler of its type.
-func (m *Messenger) dispatch(from string, env *encoder.Envelope, msg proto.Message) {
+// dispatch hands a message, which came through the peer via, to the call that waits for it or to the handler of its type.
+func (m *Messenger) dispatch(from, via string, env *encoder.Envelope, msg proto.Message) {
 	if env.Reply {
 		m.answer(env.Id, msg)
 		return
 	}
 	h := m.handlers[env.Kind]
 	if env.Id != 0 {
-		m.serveCall(from, env.Id, msg, h)
+		m.serveCall(from, via, env.Id, msg, h)
 		return
 	}
 	if h != nil {
@@ -391,7 +402,7 @@
 }
 
 // serveCall answers a call on its own goroutine, since its handler may wait for other hosts.
-func (m *Messenger) serveCall(from string, id uint64, msg proto.Message, h sycamorevane.Handler) {
+func (m *Messenger) serveCall(from, via string, id uint64, msg proto.Message, h sycamorevane.Handler) {
 	select {
 	case m.callSlot <- struct{}{}:
 	default:
@@ -404,7 +415,7 @@
 		if h != nil {
 			reply = h(from, msg)
 		}
-		if err := m.send(from, reply, id, true); err != nil {
+		if err := m.send(from, reply, id, via); err != nil {
 			m.cfg.Log.V(1).Info("reply not sent", "peer", from, "reason", err.Error())
 		}
 	})
@@ -412,11 +423,11 @@
 
 func (m *Messenger) answer(id uint64, msg proto.Message) {
 	m.mu.Lock()
-	ch, ok := m.calls[id]
+	c, ok := m.calls[id]
 	delete(m.calls, id)
 	m.mu.Unlock()
 	if ok {
-		ch <- msg
+		c.answer <- callResult{reply: msg}
 	}
 }
 
--- a/runner/contacts.go
+++ b/runner/contacts.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"sycamorevane.example/sycamorevane"
@@ -13,14 +12,14 @@
 	due map[string]time.Time
 }
 
-// ready lists the wanted hosts whose time has come. Hosts that are new among them come at a random time within spread.
-func (c *contacts) ready(now time.Time, wanted sycamorevane.Set[string], spread time.Duration) []string {
+// ready lists the wanted hosts whose time has come. The time of a host that is new among them is settled by delay.
+func (c *contacts) ready(now time.Time, wanted sycamorevane.Set[string], delay func(name string) time.Duration) []string {
 	due := make(map[string]time.Time, len(wanted))
 	var list []string
 	for _, name := range wanted.Sorted() {
 		at, known := c.due[name]
 		if !known {
-			at = now.Add(time.Duration(rand.Float64() * float64(spread)))
+			at = now.Add(delay(name))
 		}
 		due[name] = at
 		if !at.After(now) {
--- a/runner/open.go
+++ b/runner/open.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -19,6 +20,7 @@
 	"sycamorevane.example/sycamorevane/forwarder"
 	"sycamorevane.example/sycamorevane/messenger"
 	"sycamorevane.example/sycamorevane/parser"
+	"sycamorevane.example/sycamorevane/placer"
 	"sycamorevane.example/sycamorevane/recorder"
 )
 
@@ -55,6 +57,8 @@
 	// contactSpread is the time over which an entry that has reached a control host opens sessions with the others. A
 	// session costs a small control host a few milliseconds.
 	contactSpread = time.Second
+	// seedGap is how long an entry waits for a seed before it dials the next one as well.
+	seedGap = 300 * time.Millisecond
 	// memoryShare is the part of the process's memory limit that the heap may take before it is collected harder.
 	memoryShare = 0.5
 	// openCollect is the garbage collection target of processes on hosts with little memory and processor.
@@ -65,6 +69,7 @@
 type Open struct {
 	cfg     OpenConfig
 	mesh    *messenger.Messenger
+	homes   *homes
 	metrics *recorder.Metrics
 	entry   *openEntry
 	control *openControl
@@ -96,13 +101,14 @@
 		roles.Add(sycamorevane.RoleControl)
 	}
 	cfg.Log = cfg.Log.WithValues("host", s.Name)
+	h := newHomes(s.Mesh())
 	mesh, err := messenger.New(messenger.Config{
-		Self: s.Mesh(), DC: s.DC, Roles: roles, Listen: s.Mesh(), Key: s.Key, Log: cfg.Log,
+		Self: s.Mesh(), DC: s.DC, Roles: roles, Listen: s.Mesh(), Key: s.Key, Relays: h.relays, Log: cfg.Log,
 	})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	o := &Open{cfg: cfg, mesh: mesh, metrics: recorder.NewMetrics(s.Name)}
+	o := &Open{cfg: cfg, mesh: mesh, homes: h, metrics: recorder.NewMetrics(s.Name)}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	if s.Control != nil {
 		if o.control, err = newOpenControl(o); err != nil {
@@ -193,33 +199,69 @@
 	}
 }
 
-// contact keeps sessions with all control hosts, and with the seeds while none of these is reached.
+// contact keeps sessions with the control hosts that this one needs, and with the seeds while none is reached.
 func (o *Open) contact() {
-	wanted := sycamorevane.NewSet(o.controls()...)
-	reached := false
-	for _, p := range o.mesh.Peers() {
-		reached = reached || p.Alive && wanted.Has(p.Name)
+	alive := o.alive()
+	names := o.controls()
+	if o.control == nil {
+		names = o.homes.choose(time.Now(), names, alive)
 	}
-	if !reached {
-		for _, name := range o.seeds() {
-			wanted.Add(name)
-		}
+	wanted := sycamorevane.NewSet(names...)
+	delay := o.spread
+	if !slices.ContainsFunc(names, alive.Has) {
+		delay = o.trySeeds(wanted, alive)
 	}
 	delete(wanted, o.mesh.Self())
-	spread := time.Duration(0)
-	if reached && o.control == nil {
-		spread = contactSpread
-	}
-	for _, name := range o.due.ready(time.Now(), wanted, spread) {
+	for _, name := range o.due.ready(time.Now(), wanted, delay) {
 		o.mesh.Connect(name, "", name)
 	}
+	settled := o.control != nil || o.homes.settled(alive)
 	for _, p := range o.mesh.Peers() {
-		if p.Addr != "" && !wanted.Has(p.Name) && (reached || !p.Alive) {
+		if p.Addr != "" && !wanted.Has(p.Name) && (settled || !p.Alive) {
 			o.mesh.Forget(p.Name)
 		}
 	}
 }
 
+// spread is when a session with a control host is opened. A session costs a small host some milliseconds, and after a loss
+// of power all entries come at once.
+func (o *Open) spread(string) time.Duration {
+	if o.control != nil {
+		return 0
+	}
+	return time.Duration(rand.Float64() * float64(contactSpread))
+}
+
+// trySeeds adds the seeds to the wanted hosts as long as no control host is reached, and returns when they are dialled. An
+// entry tries them one after the other: they have the fewest of all hosts to share the first sessions of all entries.
+func (o *Open) trySeeds(wanted, alive sycamorevane.Set[string]) func(string) time.Duration {
+	if o.control == nil && len(alive) > 0 {
+		return o.spread
+	}
+	seeds := o.seeds()
+	for _, name := range seeds {
+		wanted.Add(name)
+	}
+	ranked := placer.Holders(o.mesh.Self(), seeds, len(seeds))
+	return func(name string) time.Duration {
+		if i := slices.Index(ranked, name); i > 0 && o.control == nil {
+			return time.Duration(i) * seedGap
+		}
+		return 0
+	}
+}
+
+// alive lists the control hosts with a session that works.
+func (o *Open) alive() sycamorevane.Set[string] {
+	alive := sycamorevane.NewSet[string]()
+	for _, p := range o.mesh.Peers() {
+		if p.Alive && p.Roles.Has(sycamorevane.RoleControl) {
+			alive.Add(p.Name)
+		}
+	}
+	return alive
+}
+
 // controls lists the control hosts as known here.
 func (o *Open) controls() []string {
 	if o.control != nil {
--- a/runner/open_control.go
+++ b/runner/open_control.go
@@ -70,21 +70,22 @@
 		Self: o.mesh.Self(), Transport: o.mesh, Store: store, Machine: c.machine, Bootstrap: c.bootstrap(), Reopen: open,
 		Log: o.cfg.Log, Metrics: o.metrics,
 	})
-	c.dir = resolver.NewDirectory(resolver.DirectoryConfig{Transport: o.mesh, Max: directoryMax})
+	c.dir = resolver.NewDirectory(resolver.DirectoryConfig{Transport: o.mesh, Max: directoryMax, Controls: c.others})
 	c.admin = administrator.New(administrator.Config{
 		State: c.machine.State, Propose: c.repl.Propose, Read: c.read, Versions: c.versions,
 		Policy: administrator.NewPolicy(s.Bounds.RetryShare, s.Bounds.TrialShare),
 		Clock:  processClock, Log: o.cfg.Log,
 	})
 	c.keeper = cataloger.NewKeeper(cataloger.KeeperConfig{
-		Transport: o.mesh, Controls: c.others, Entries: c.entries, Leads: c.leads,
+		Transport: o.mesh, Epoch: o.mesh.Boot(), Controls: c.others, Entries: c.followers,
+		Leads:   func() bool { self, _ := c.leads(); return self },
 		Follows: c.follows,
 		Left:    c.left, Commit: c.admin.Leave, Forgot: c.forgot, Interval: s.Bounds.Heartbeat,
 		File: cataloger.File{Path: filepath.Join(s.Control.Data, "catalog")}, Log: o.cfg.Log,
 	})
 	c.pub = publisher.New(publisher.Config{
-		Transport: o.mesh, State: c.machine.State, Leader: c.leads, Read: c.read, Entries: c.entries,
-		Complete: c.complete, First: func(st *sycamorevane.State) bool { return st.Config.Number > 0 }, Log: o.cfg.Log,
+		Transport: o.mesh, State: c.machine.State, Leader: c.inTouch, Apart: true, Read: c.read, Entries: c.entries,
+		Follows: c.dir.Follows, Complete: c.complete, First: func(st *sycamorevane.State) bool { return st.Config.Number > 0 }, Log: o.cfg.Log,
 	})
 	c.promote = promoter.New(promoter.Config{
 		Transport: o.mesh, Clock: processClock, Log: o.cfg.Log,
@@ -115,6 +116,7 @@
 		return errors.Annotate(err, "replicated log")
 	}
 	c.running.Store(true)
+	c.dir.Start()
 	c.keeper.Start()
 	c.pub.Start()
 	c.promote.Start()
@@ -146,6 +148,13 @@
 	return self, term
 }
 
+// inTouch reports whether this host is in contact with a leader, itself included, and the term. What it has applied is
+// then at most a heartbeat old.
+func (c *openControl) inTouch() (bool, uint64) {
+	name, _, term := c.repl.Leader()
+	return name != "", term
+}
+
 // members lists the control group; empty on a host that has not joined yet.
 func (c *openControl) members() []string {
 	var names []string
@@ -170,14 +179,18 @@
 	return names
 }
 
+// followers lists the entries that take the catalog from this host.
+func (c *openControl) followers() []string {
+	return slices.DeleteFunc(c.entries(), func(name string) bool { return !c.dir.Follows(name) })
+}
+
 // complete adds to a push what an entry cannot know by itself. Only the rank differs from entry to entry.
 func (c *openControl) complete() func(m *encoder.StatePush, entry string) {
 	names, members := c.dir.Names(), c.members()
-	var epoch, revision uint64
-	if self, _ := c.leads(); self {
-		epoch, revision = c.keeper.Revision()
-	}
+	leader, _, _ := c.repl.Leader()
+	epoch, revision := c.keeper.Revision()
 	return func(m *encoder.StatePush, entry string) {
+		m.Leader = leader
 		rank, entries := c.dir.Share(names, entry)
 		m.Rank, m.Entries = uint32(rank), uint32(entries)
 		m.Members, m.Epoch, m.Revision = members, epoch, revision
@@ -233,25 +246,22 @@
 	}
 }
 
-// greetLoop pushes at once to entries that have just come up and, on a new leader, to all: an entry without a catalog
-// serves nobody.
+// greetLoop pushes at once to entries that have just come up and, when this host gets in contact with a new leader or
+// loses it, to all: an entry without a catalog serves nobody.
 func (c *openControl) greetLoop() {
 	t := time.NewTicker(greetInterval)
 	defer t.Stop()
 	greeted := make(map[string]uint64)
-	term := uint64(0)
+	inTouch, term := false, uint64(0)
 	for {
 		select {
 		case <-t.C:
 		case <-c.o.ctx.Done():
 			return
 		}
-		self, now := c.leads()
-		if !self {
-			continue
-		}
-		fresh := now != term
-		term = now
+		touch, now := c.inTouch()
+		fresh := touch != inTouch || now != term
+		inTouch, term = touch, now
 		for _, p := range c.o.mesh.Peers() {
 			if p.Alive && p.Roles.Has(sycamorevane.RoleEntry) && greeted[p.Name] != p.Boot {
 				greeted[p.Name] = p.Boot
@@ -403,6 +413,7 @@
 	c.promote.Close()
 	c.pub.Close()
 	c.keeper.Close()
+	c.dir.Close()
 	if c.running.Load() {
 		c.repl.Close()
 	}
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -54,7 +54,7 @@
 )
 
 // openEntry is the entry role in an open deployment. It needs no other entry: it places requests by its own view and
-// learns configuration and servers from the control leader.
+// learns configuration and servers from a control host.
 type openEntry struct {
 	o         *Open
 	sub       *subscriber.Subscriber
@@ -79,7 +79,7 @@
 		Transport: o.mesh, Controls: o.contacts, Alone: true, Changed: e.changed, Pushed: e.pushed, Log: o.cfg.Log,
 	})
 	e.catalog = cataloger.NewFollower(cataloger.FollowerConfig{
-		Transport: o.mesh, Changed: func() { e.place.Update() }, Log: o.cfg.Log,
+		Transport: o.mesh, Source: o.homes.followed, Changed: func() { e.place.Update() }, Log: o.cfg.Log,
 	})
 	b := o.cfg.Settings.Bounds
 	e.place = dispatcher.New(dispatcher.Config{
@@ -120,9 +120,17 @@
 	e.place.Update()
 }
 
-// pushed takes what the control leader says besides the state.
+// pushed takes what a control host says besides the state. What differs between control hosts is taken from the one that
+// this entry follows.
 func (e *openEntry) pushed(from string, m *encoder.StatePush) {
+	e.o.homes.heard(from, m.Apart)
+	if m.Apart {
+		return
+	}
 	e.o.setMembers(m.Members)
+	if from != e.o.homes.followed() {
+		return
+	}
 	e.rank.Store(int64(m.Rank))
 	e.entries.Store(int64(m.Entries))
 	e.catalog.Announced(from, m.Epoch, m.Revision)
@@ -160,8 +168,8 @@
 // accepting reports whether callers may be sent here.
 func (e *openEntry) accepting() bool { return e.sub.Connected() && !e.leaving.Load() }
 
-// presenceLoop tells the control hosts every second, and one that has just come up at once, whether callers may be sent
-// here.
+// presenceLoop tells its control hosts every second, and one that has just come up at once, whether callers may be sent
+// here, and which of them this entry follows.
 func (e *openEntry) presenceLoop() {
 	t := time.NewTicker(presenceTick)
 	defer t.Stop()
@@ -177,7 +185,12 @@
 				fresh = true
 			}
 		}
-		if was := accepting; fresh || now.Sub(last) >= presenceInterval || was != e.accepting() {
+		source, moved := e.o.homes.follow(e.o.alive())
+		if moved {
+			e.o.cfg.Log.Info("control host followed", "peer", source)
+			e.catalog.Ask(source)
+		}
+		if was := accepting; fresh || moved || now.Sub(last) >= presenceInterval || was != e.accepting() {
 			accepting, last = e.accepting(), now
 			e.announce()
 		}
@@ -246,11 +259,11 @@
 	if st := e.sub.State(); st != nil {
 		m.Loads = e.loads(st)
 	}
-	for _, p := range e.o.mesh.Peers() {
-		if p.Alive && p.Roles.Has(sycamorevane.RoleControl) {
-			if err := e.o.mesh.Send(p.Name, m); err != nil {
-				e.o.cfg.Log.V(1).Info("presence not sent", "peer", p.Name, "reason", err.Error())
-			}
+	source := e.o.homes.followed()
+	for _, name := range e.o.alive().Sorted() {
+		m.Follows = name == source
+		if err := e.o.mesh.Send(name, m); err != nil {
+			e.o.cfg.Log.V(1).Info("presence not sent", "peer", name, "reason", err.Error())
 		}
 	}
 }
