Bound bytes without end from servers in bytes and time

Cause: a refusal whose body trickles held its request for as long as each byte came within 10 s; bytes that are no answer were read up to 256 KiB or to the deadline; an answer that never reaches its length held its request beyond the deadline; bytes on an idle connection stayed in the kernel until its next use.

Change: the first byte that does not fit an answer ends the attempt; headers are bounded at 32 KiB; a body has to come until the caller has given up, a long one some time after that; a refusal's body is waited for 20 ms; idle connections with unread bytes are closed every 5 s; questions are not answered by provisional answers. Counted as "malformed" and logged with server and reason.

Tests: TestEndlessBytes (18 kinds at full speed or slowly), TestEndlessBytesInAnswersToQuestions, TestBytesOnIdleConnections, TestMemoryOfEndlessHeaders (1,000 at once below 92 MB).

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -37,8 +37,9 @@
 
 	bitsPerByte    = 8
 	bitsPerMegabit = 1e6
-	// maxShedBody bounds what is read of a not-run refusal to keep its connection.
+	// maxShedBody and shedTime bound what is read of a not-run refusal to keep its connection.
 	maxShedBody = 16 << 10
+	shedTime    = 20 * time.Millisecond
 )
 
 var (
@@ -146,6 +147,18 @@
 	return c.began.Add(c.timeout)
 }
 
+// latest is when the body of an answer must have come: some time after the caller has given up, or after the operator wants it
+// to wait no longer; zero for no bound.
+func (c *call) latest(grace time.Duration) time.Time {
+	if c.deadline.IsZero() {
+		return time.Time{}
+	}
+	if c.patience.After(c.deadline) {
+		return c.patience.Add(grace)
+	}
+	return c.deadline.Add(grace)
+}
+
 // try runs one attempt and calls granted, which may be nil, when a server is chosen. With hedge it uses a new
 // connection and does not queue for a slot.
 func (c *call) try(ctx context.Context, avoid []string, hedge bool, granted func(server string)) *result {
@@ -374,6 +387,9 @@
 
 func (a *attempt) readHead() (*http.Response, error) {
 	for range maxInformational {
+		if err := a.conn.awaitAnswer(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(a.conn.r, a.out)
 		if err != nil {
 			return nil, err
@@ -443,6 +459,7 @@
 // readBody reads a short answer whole and leaves a long one to be streamed.
 func (a *attempt) readBody(resp *http.Response) *result {
 	a.conn.head = -1
+	a.conn.until = a.c.latest(a.c.f.cfg.Grace)
 	res := &result{
 		server: a.grant.Server, id: a.id, sent: true, resp: resp, kind: sycamorevane.OutcomeOK, latency: a.latent, load: a.load,
 		held: time.Duration(a.held.Load()),
@@ -470,6 +487,7 @@
 		return a.fail(err)
 	}
 	if res.stream != nil {
+		a.conn.until = a.c.latest(a.c.progress)
 		res.open = a
 		return res
 	}
@@ -510,6 +528,7 @@
 
 // shed takes the server's own refusal, which says that the request has not run.
 func (a *attempt) shed(resp *http.Response) *result {
+	a.conn.until = time.Now().Add(shedTime) // Its body says nothing more.
 	_, err := io.CopyN(io.Discard, resp.Body, maxShedBody)
 	a.stale = resp.StatusCode == http.StatusMisdirectedRequest
 	a.finish(sycamorevane.OutcomeShed, err == io.EOF && !resp.Close)
@@ -534,11 +553,20 @@
 		res.kind = sycamorevane.OutcomeCancelled
 	case isTimeout(err):
 		res.kind = sycamorevane.OutcomeTimeout
+	default:
+		a.explainBroken(err)
 	}
 	a.finish(res.kind, false)
 	return res
 }
 
+// explainBroken logs what a server sent in place of an answer.
+func (a *attempt) explainBroken(err error) {
+	a.c.f.counts.malformed.Inc(1)
+	a.c.f.sampler.Info(time.Now(), "server gave no proper answer", "server", a.grant.Server.ID, "request", a.id,
+		"reason", err.Error(), "sent", a.conn.sent.Load())
+}
+
 func isTimeout(err error) bool {
 	var n net.Error
 	return errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &n) && n.Timeout())
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -68,6 +68,8 @@
 	// deadline is the time the caller named; zero when it named none, since a slow upload may then take longer
 	// than the service's timeout.
 	deadline time.Time
+	// patience is the time that the caller named, also where the deadline is sooner; zero when it named none.
+	patience time.Time
 	header   http.Header
 	body     *upload
 	// fingerprint is zero until the prefix of the body is settled.
@@ -271,6 +273,7 @@
 		c.waited = c.ruleState.allowance.elapsed(time.Duration(min(ms, maxTimeout.Milliseconds())) * time.Millisecond)
 	}
 	wanted := c.began.Add(min(maxTimeout, time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond))
+	c.patience = wanted
 	if c.deadline.IsZero() || wanted.Before(c.deadline) {
 		c.deadline = wanted
 	}
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -16,12 +16,15 @@
 	// userTimeout is how long sent data may stay unacknowledged before the kernel ends the connection.
 	userTimeout = 5 * time.Second
 	// maxAnswerHeader bounds the status line and headers of an answer in bytes.
-	maxAnswerHeader = 256 << 10
+	maxAnswerHeader = 32 << 10
 	readBuffer      = 4 << 10
 	writeBuffer     = 4 << 10
 )
 
-var errAnswerHeader = errors.New("answer header is too large")
+var (
+	errAnswerHeader = errors.New("answer header is too large")
+	errNoAnswer     = errors.New("server sent bytes that are no answer")
+)
 
 // serverConn is one connection to a backend server. It carries one exchange at a time.
 type serverConn struct {
@@ -34,8 +37,9 @@
 	reused   bool
 	// idleFor is after how long the server closes the connection when it is idle; 0 when it has not said.
 	idleFor time.Duration
-	// progress bounds each read and write of a body.
+	// progress bounds each read and write of a body, until all reads of it; zero for no bound.
 	progress time.Duration
+	until    time.Time
 	// head is the number of bytes that the header of the answer may still take; negative while the body is read.
 	head int
 	// sent counts bytes given to the kernel in the current exchange.
@@ -105,17 +109,36 @@
 
 // begin prepares the connection for an exchange.
 func (c *serverConn) begin(progress time.Duration) {
-	c.progress = progress
+	c.progress, c.until = progress, time.Time{}
 	c.head = maxAnswerHeader
 	c.sent.Store(0)
 }
 
+// awaitAnswer waits for the beginning of an answer, and fails as soon as the bytes show that they are none.
+func (c *serverConn) awaitAnswer() error {
+	const begin = "HTTP/"
+	for n := 1; n <= len(begin); n++ {
+		b, err := c.r.Peek(n)
+		if err != nil {
+			return err
+		}
+		if string(b) != begin[:n] {
+			return errNoAnswer
+		}
+	}
+	return nil
+}
+
 // connReader reads from the connection with the limits of the current phase.
 type connReader serverConn
 
 func (r *connReader) Read(p []byte) (int, error) {
 	if r.head < 0 {
-		_ = r.Conn.SetReadDeadline(time.Now().Add(r.progress))
+		deadline := time.Now().Add(r.progress)
+		if !r.until.IsZero() && r.until.Before(deadline) {
+			deadline = r.until
+		}
+		_ = r.Conn.SetReadDeadline(deadline)
 		return r.Conn.Read(p)
 	}
 	if r.head == 0 {
--- /dev/null
+++ b/forwarder/endless_test.go
@@ -0,0 +1,188 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sycamorevane.example/sycamorevane"
+)
+
+// endless answers with a beginning, and then with the same bytes until the connection closes, which it reports.
+type endless struct {
+	begin, again string
+	pause        time.Duration
+	closed       chan time.Duration
+}
+
+func (e *endless) serve(s *script, _ int, c net.Conn) {
+	req, ok := s.read(bufio.NewReader(c))
+	if !ok {
+		return
+	}
+	began := time.Now()
+	_, err := io.WriteString(c, strings.ReplaceAll(e.begin, "ID", req.Header.Get("X-Request-Id")))
+	for err == nil {
+		time.Sleep(e.pause)
+		_, err = io.WriteString(c, e.again)
+	}
+	e.closed <- time.Since(began)
+}
+
+const provenHead = "HTTP/1.1 200 OK\r\nX-Proof: p\r\nX-Request-Id: ID\r\n"
+
+// endlessAnswers are bytes that are no answer and come without end, at full speed or slowly.
+func endlessAnswers() map[string]*endless {
+	const slow = 20 * time.Millisecond
+	long := strings.Repeat("x", 4096)
+	line := "X-Fill: " + strings.Repeat("x", 100) + "\r\n"
+	cases := map[string]*endless{
+		"no answer at all":                {"", long, 0, nil},
+		"no answer at all, slowly":        {"", "x", slow, nil},
+		"status line":                     {"HTTP/1.1 200 ", long, 0, nil},
+		"status line, slowly":             {"HTTP/1.1 200 ", "x", slow, nil},
+		"header":                          {provenHead, line, 0, nil},
+		"header, slowly":                  {provenHead, "X-Fill: x\r\n", slow, nil},
+		"provisional answers":             {"", "HTTP/1.1 102 Processing\r\n\r\n", 0, nil},
+		"provisional answers, slowly":     {"", "HTTP/1.1 102 Processing\r\n\r\n", slow, nil},
+		"chunk header":                    {provenHead + "Transfer-Encoding: chunked\r\n\r\n", "0", 0, nil},
+		"chunk header, slowly":            {provenHead + "Transfer-Encoding: chunked\r\n\r\n", "0", slow, nil},
+		"chunk extension":                 {provenHead + "Transfer-Encoding: chunked\r\n\r\n1;a=", long, 0, nil},
+		"trailer":                         {provenHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", line, 0, nil},
+		"trailer, slowly":                 {provenHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Fill: x\r\n", slow, nil},
+		"body that never reaches its end": {provenHead + "Content-Length: 200000\r\n\r\n", "x", slow, nil},
+		"refusal that does not end":       {"HTTP/1.1 503 Unavailable\r\nX-Rejected: 1\r\nX-Request-Id: ID\r\nContent-Length: 9000\r\n\r\n", "x", slow, nil},
+		"refusal without length":          {"HTTP/1.1 503 Unavailable\r\nX-Rejected: 1\r\nX-Request-Id: ID\r\n\r\n", long, 0, nil},
+		"failure without length":          {"HTTP/1.1 500 Error\r\nX-Request-Id: ID\r\n\r\n", "x", slow, nil},
+		"belated answer":                  {provenHead + "Content-Length: 2\r\n\r\nok" + "HTTP/1.1 200 OK\r\nX-Proof: p\r\nX-Request-Id: other\r\n\r\n", long, 0, nil},
+	}
+	for _, e := range cases {
+		e.closed = make(chan time.Duration, 64)
+	}
+	return cases
+}
+
+// Guards against servers that never end what is no answer: they must not hold a caller beyond its time, fill the memory of a
+// small host, or have their bytes passed on.
+func TestEndlessBytes(t *testing.T) {
+	t.Parallel()
+	const limit = 500 * time.Millisecond // The time-out of the rules of withRules.
+	for name, e := range endlessAnswers() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, server := newScript(t, e.serve)
+			r := newRig(t, withRules(func(cfg *Config, st *sycamorevane.State) {
+				cfg.Grace = 50 * time.Millisecond
+				st.Config.Services[0].Progress = 100 * time.Millisecond
+			}), server)
+			began := time.Now()
+			resp, body, err := r.do("POST", "/set/x", "")
+			took := time.Since(began)
+			assert.Less(t, took, limit+250*time.Millisecond)
+			if strings.HasPrefix(name, "chunk") || strings.HasPrefix(name, "trailer") {
+				assert.True(t, err != nil || resp.StatusCode >= http.StatusBadGateway, "the caller sees that it is not whole")
+				return
+			}
+			require.NoError(t, err)
+			switch name {
+			case "refusal that does not end", "refusal without length":
+				assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "the server has said that it has not run")
+				assert.Less(t, took, limit/2, "its body says nothing more")
+			case "belated answer":
+				assert.Equal(t, "ok", body)
+			case "failure without length":
+				assert.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusInternalServerError}, resp.StatusCode)
+			default:
+				assert.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, resp.StatusCode)
+				assert.NotContains(t, body, "xxx")
+			}
+			if name == "no answer at all" || name == "no answer at all, slowly" {
+				assert.Less(t, took, limit/2, "its first byte shows it")
+			}
+			if name == "belated answer" {
+				return // The connection is closed when it is looked at next; see TestBytesOnIdleConnections.
+			}
+			select {
+			case <-e.closed:
+			case <-time.After(limit):
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
+
+// Guards against the same in answers to questions.
+func TestEndlessBytesInAnswersToQuestions(t *testing.T) {
+	t.Parallel()
+	const limit = 150 * time.Millisecond
+	for name, e := range endlessAnswers() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, server := newScript(t, e.serve)
+			r := newRig(t, withRules(), server)
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			defer cancel()
+			began := time.Now()
+			_, _, err := r.f.Ask(ctx, server, "/health")
+			assert.Less(t, time.Since(began), limit+100*time.Millisecond)
+			if name != "belated answer" && !strings.HasPrefix(name, "trailer") {
+				assert.Error(t, err)
+			}
+		})
+	}
+}
+
+// Guards against idle connections that fill up with bytes that belong to no request.
+func TestBytesOnIdleConnections(t *testing.T) {
+	t.Parallel()
+	e := &endless{provenHead + "Content-Length: 2\r\n\r\nok", "x", 10 * time.Millisecond, make(chan time.Duration, 1)}
+	_, server := newScript(t, e.serve)
+	r := newRig(t, withRules(), server)
+	_, body, err := r.do("POST", "/set/x", "")
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	select {
+	case took := <-e.closed:
+		require.Less(t, took, sweepInterval+time.Second)
+	case <-time.After(sweepInterval + 2*time.Second):
+		t.Fatal("the connection is still open")
+	}
+}
+
+// Guards against endless headers that fill the memory of a host with 184 MB, half of which is for the heap: 1,000 requests
+// at the same time, each of them answered so.
+func TestMemoryOfEndlessHeaders(t *testing.T) {
+	if testing.Short() {
+		t.Skip("sends some hundred MB")
+	}
+	const requests, allowed = 1000, 92 << 20
+	e := &endless{provenHead, "X-Fill: " + strings.Repeat("x", 4000) + "\r\n", time.Millisecond, make(chan time.Duration, requests)}
+	_, server := newScript(t, e.serve)
+	server.Conns = requests
+	r := newRig(t, withRules(), server)
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() { _, _, _ = r.do("POST", "/set/x", "") })
+	}
+	most := uint64(0)
+	for range 20 {
+		time.Sleep(25 * time.Millisecond)
+		runtime.ReadMemStats(&now)
+		most = max(most, now.HeapInuse)
+	}
+	wg.Wait()
+	require.Less(t, most-before.HeapInuse, uint64(allowed), "the callers and servers of the test included")
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -114,7 +114,7 @@
 
 // counts are the metrics of a forwarder.
 type counts struct {
-	calls, refused, uncertain, retries, hedges, panics, truncated, mismatched tally.Counter
+	calls, refused, uncertain, retries, hedges, panics, truncated, mismatched, malformed tally.Counter
 	// latency is the time from the request to its answer.
 	latency tally.Histogram
 }
@@ -151,7 +151,8 @@
 		calls: m.Counter("calls"), refused: m.Counter("refused"), uncertain: m.Counter("uncertain"),
 		retries: m.Counter("retries"), hedges: m.Counter("hedges"), panics: m.Counter("panics"),
 		truncated: m.Counter("truncated"), mismatched: m.Counter("mismatched"),
-		latency: m.Histogram("latency", latencyBuckets),
+		malformed: m.Counter("malformed"),
+		latency:   m.Histogram("latency", latencyBuckets),
 	}
 	f.sampler = recorder.NewSampler(cfg.Log)
 	f.pools.init(cfg.Dial)
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -245,17 +245,21 @@
 	p.gone()
 }
 
-// sweep closes old idle connections and reports whether the pool can be dropped.
+// sweep closes idle connections that are old, or have bytes that belong to no request, and reports whether the pool can be dropped.
 func (p *pool) sweep(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for n < len(p.idle) && now.Sub(p.idle[n].answered) > maxIdle {
-		_ = p.idle[n].Close()
-		n++
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Sub(c.answered) <= maxIdle && c.quiet() {
+			kept = append(kept, c)
+			continue
+		}
+		_ = c.Close()
+		p.open--
 	}
-	p.idle = p.idle[n:]
-	p.open -= n
+	clear(p.idle[len(kept):])
+	p.idle = kept
 	return p.open == 0 && now.Sub(p.used) > forgetAfter
 }
 
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -52,10 +52,16 @@
 	if err := conn.w.Flush(); err != nil {
 		return nil, errors.Trace(err)
 	}
+	if err := conn.awaitAnswer(); err != nil {
+		return nil, errors.Trace(err)
+	}
 	resp, err := http.ReadResponse(conn.r, req)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if resp.StatusCode < http.StatusOK {
+		return nil, errors.New("answer to a probe is provisional")
+	}
 	// The connection is used again only after the whole answer.
 	if _, err := io.CopyN(io.Discard, resp.Body, maxShedBody); err != io.EOF {
 		return nil, errors.New("answer to a probe is broken or too long")
