Hundreds of entries that start do not keep control from leading

Change: sessions of control hosts begin at once, 16 others at a time, and at most 256 wait; an entry dials the next seed only while no host has taken its connection; entries ask the hosts that they have sessions with, and again after 0.5 s; a host without a configuration answers without a read; questions share reads by the quorum that begin after them; the directory answers from a view of at most 50 ms.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -39,6 +39,10 @@
 	dialBackoffMin = 50 * time.Millisecond
 	dialBackoffMax = 150 * time.Millisecond
 	maxCalls       = 512
+	// maxGreetings bounds the sessions that begin at the same time for peers that are not Favoured, and maxWaiting those that
+	// wait for it. All at once they would all be late, and the last ones in vain.
+	maxGreetings = 16
+	maxWaiting   = 256
 	// maxSessions bounds open connections, authenticated or not, at four times the largest configuration.
 	maxSessions = 4096
 )
@@ -55,6 +59,8 @@
 	Log logr.Logger
 	// Metrics counts the payload bytes sent by message; nil for none.
 	Metrics tally.Scope
+	// Favoured, when set, reports whether sessions from an address may begin at once, whatever others wait.
+	Favoured func(host string) bool
 	// Relays, when set, lists peers that pass messages on to hosts without a session here, in order of preference.
 	Relays func() []string
 	// Filter, when set, drops messages to and from peers for which it returns false, and sessions with them that
@@ -71,6 +77,11 @@
 	listener net.Listener
 	nextCall atomic.Uint64
 	callSlot chan struct{}
+	// greetSlot is held while a session begins, waitSlot while it waits for that.
+	greetSlot chan struct{}
+	waitSlot  chan struct{}
+	// greeting counts the sessions that this side has begun and that are not known yet.
+	greeting atomic.Int64
 	traffic  counters
 	// local carries messages from this host to itself, when one process has several roles.
 	local *sycamorevane.Ring[*encoder.Envelope]
@@ -113,13 +124,15 @@
 	ctx, stop := context.WithCancel(context.Background())
 	m := &Messenger{
 		cfg: cfg, id: id, boot: rand.Uint64() | 1, listener: l, ctx: ctx, stop: stop,
-		handlers: make(map[uint32]sycamorevane.Handler),
-		callSlot: make(chan struct{}, maxCalls),
-		local:    sycamorevane.NewRing[*encoder.Envelope](urgentQueue),
-		peers:    make(map[string]*peer),
-		calls:    make(map[uint64]pendingCall),
-		bytes:    make(map[protoreflect.Name]tally.Counter),
-		conns:    make(map[net.Conn]struct{}),
+		handlers:  make(map[uint32]sycamorevane.Handler),
+		callSlot:  make(chan struct{}, maxCalls),
+		greetSlot: make(chan struct{}, maxGreetings),
+		waitSlot:  make(chan struct{}, maxWaiting),
+		local:     sycamorevane.NewRing[*encoder.Envelope](urgentQueue),
+		peers:     make(map[string]*peer),
+		calls:     make(map[uint64]pendingCall),
+		bytes:     make(map[protoreflect.Name]tally.Counter),
+		conns:     make(map[net.Conn]struct{}),
 	}
 	return m, nil
 }
@@ -377,7 +390,7 @@
 			continue
 		}
 		m.wg.Go(func() {
-			s, err := m.openSession(tls.Server(&countedConn{conn, &m.traffic}, m.id.config()), false, "")
+			s, err := m.accept(conn)
 			if err == nil {
 				err = m.runSession(s)
 			}
@@ -386,6 +399,32 @@
 	}
 }
 
+// accept begins a session with a peer that has connected, when its turn has come.
+func (m *Messenger) accept(conn net.Conn) (*session, error) {
+	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	if m.cfg.Favoured == nil || !m.cfg.Favoured(host) {
+		select {
+		case m.waitSlot <- struct{}{}:
+			defer func() { <-m.waitSlot }()
+		default:
+			_ = conn.Close()
+			return nil, &sycamorevane.BusyError{Queue: "sessions that begin", Size: maxWaiting}
+		}
+		select {
+		case m.greetSlot <- struct{}{}:
+			defer func() { <-m.greetSlot }()
+		case <-m.ctx.Done():
+			_ = conn.Close()
+			return nil, m.ctx.Err()
+		}
+	}
+	return m.openSession(tls.Server(&countedConn{conn, &m.traffic}, m.id.config()), false, "")
+}
+
+// Greeting reports whether a host has taken a connection of this one and the session is not there yet: it lives, but may be
+// busy with others.
+func (m *Messenger) Greeting() bool { return m.greeting.Load() > 0 }
+
 func (m *Messenger) sessions() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -443,6 +482,8 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	m.greeting.Add(1)
+	defer m.greeting.Add(-1)
 	return m.openSession(tls.Client(&countedConn{conn, &m.traffic}, m.id.config()), true, name)
 }
 
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -240,3 +241,41 @@
 	var unreachable *sycamorevane.UnreachableError
 	require.ErrorAs(t, err, &unreachable)
 }
+
+// Guards against control hosts that cannot reach each other while hundreds of entries open their sessions.
+func TestFavouredSessionsBeginAtOnce(t *testing.T) {
+	busy, err := New(Config{
+		Self: "busy", Listen: "127.0.0.1:0", Key: testKey, Log: logr.Discard(),
+		Favoured: func(host string) bool { return host == "127.0.0.1" },
+	})
+	require.NoError(t, err)
+	busy.Start()
+	t.Cleanup(busy.Close)
+	from := func(ip string) net.Conn {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+		c, err := d.Dial("tcp", busy.Addr())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	for range maxGreetings + maxWaiting/2 {
+		from("127.0.0.9") // It says nothing.
+	}
+	require.Eventually(t, func() bool { return len(busy.greetSlot) == maxGreetings }, time.Second, time.Millisecond)
+	a := start(t, "a", testKey, nil)
+	a.Connect("busy", "", busy.Addr())
+	began := time.Now()
+	expectAlive(t, a, "busy", true)
+	require.Less(t, time.Since(began), 500*time.Millisecond)
+
+	t.Run("and too many that wait are sent away", func(t *testing.T) {
+		for range maxWaiting {
+			from("127.0.0.9")
+		}
+		c := from("127.0.0.9")
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		_, err := c.Read(make([]byte, 1))
+		var timeout net.Error
+		require.False(t, errors.As(err, &timeout) && timeout.Timeout())
+	})
+}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -266,6 +266,9 @@
 // onAsk answers with the state after a quorum read, so that a host that was cut off cannot hand out an old one.
 func (p *Publisher) onAsk(from string, m proto.Message) proto.Message {
 	ask, _ := m.(*encoder.StateAsk)
+	if st := p.cfg.State(); st == nil || !p.cfg.First(st) {
+		return nil // Nothing is stored yet as far as this host knows, and a read by the quorum is not worth its cost.
+	}
 	ctx, cancel := context.WithTimeout(p.ctx, readTimeout)
 	defer cancel()
 	if err := p.cfg.Read(ctx); err != nil {
--- a/resolver/directory.go
+++ b/resolver/directory.go
@@ -61,6 +61,8 @@
 	Max int
 	// Controls lists the other control hosts, which are told about the entries that follow this one.
 	Controls func() []string
+	// Fresh is how old the view of the entries may be for an answer; 0 for a new one each time.
+	Fresh time.Duration
 }
 
 // Directory knows on a control host which entries take requests, in a deployment whose configuration lists no hosts. Each
@@ -77,6 +79,15 @@
 	relayed map[string]place
 	// told is what the other control hosts know of the entries that follow this one.
 	told map[string]told
+	// listed is the view that answers come from, made at listedAt.
+	listed   *listing
+	listedAt time.Time
+}
+
+// listing is the entries that callers are sent to, by name, and their addresses by data centre.
+type listing struct {
+	names []string
+	addrs map[string][]string
 }
 
 // place is what an entry said of itself last.
@@ -282,21 +293,35 @@
 }
 
 // Names lists the entries that callers are sent to, sorted.
-func (d *Directory) Names() []string {
-	names, places := d.live(time.Now())
-	return active(names, places, d.cfg.Max)
+func (d *Directory) Names() []string { return d.list().names }
+
+// list returns a view of the entries that is fresh enough. It must not be changed.
+func (d *Directory) list() *listing {
+	now := time.Now()
+	d.mu.Lock()
+	l := d.listed
+	if l != nil && now.Sub(d.listedAt) < d.cfg.Fresh {
+		d.mu.Unlock()
+		return l
+	}
+	d.mu.Unlock()
+	names, places := d.live(now)
+	l = &listing{names: active(names, places, d.cfg.Max), addrs: make(map[string][]string)}
+	for _, name := range l.names {
+		p := places[name]
+		l.addrs[p.Dc] = append(l.addrs[p.Dc], p.Addr)
+	}
+	d.mu.Lock()
+	d.listed, d.listedAt = l, now
+	d.mu.Unlock()
+	return l
 }
 
 // Addresses returns where callers in the data centre should connect: to the entries there and, when these are too few,
 // to those of the data centres that follow by name. In this way each data centre helps out one other.
 func (d *Directory) Addresses(dc string) []string {
-	names, places := d.live(time.Now())
-	byDC := make(map[string][]string)
-	for _, name := range active(names, places, d.cfg.Max) {
-		p := places[name]
-		byDC[p.Dc] = append(byDC[p.Dc], p.Addr)
-	}
-	list := byDC[dc]
+	byDC := d.list().addrs
+	list := slices.Clone(byDC[dc])
 	others := slices.DeleteFunc(slices.Sorted(maps.Keys(byDC)), func(name string) bool { return name == dc })
 	first, _ := slices.BinarySearch(others, dc)
 	for i := range others {
--- a/runner/homes.go
+++ b/runner/homes.go
@@ -131,11 +131,14 @@
 	return h.source
 }
 
-// relays lists the hosts that pass messages on, the one that is followed first.
+// relays lists the hosts that answer this entry and pass its messages on, the one that is followed first.
 func (h *homes) relays() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := []string{h.source}
+	var list []string
+	if h.source != "" {
+		list = append(list, h.source)
+	}
 	for _, name := range h.list {
 		if name != h.source {
 			list = append(list, name)
--- a/runner/open.go
+++ b/runner/open.go
@@ -102,13 +102,15 @@
 	}
 	cfg.Log = cfg.Log.WithValues("host", s.Name)
 	h := newHomes(s.Mesh())
+	var o *Open
+	favoured := func(host string) bool { return o.isControl(host) }
 	mesh, err := messenger.New(messenger.Config{
-		Self: s.Mesh(), DC: s.DC, Roles: roles, Listen: s.Mesh(), Key: s.Key, Relays: h.relays, Log: cfg.Log,
+		Self: s.Mesh(), DC: s.DC, Roles: roles, Listen: s.Mesh(), Key: s.Key, Relays: h.relays, Favoured: favoured, Log: cfg.Log,
 	})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	o := &Open{cfg: cfg, mesh: mesh, homes: h, metrics: recorder.NewMetrics(s.Name)}
+	o = &Open{cfg: cfg, mesh: mesh, homes: h, metrics: recorder.NewMetrics(s.Name)}
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	if s.Control != nil {
 		if o.control, err = newOpenControl(o); err != nil {
@@ -213,6 +215,9 @@
 	}
 	delete(wanted, o.mesh.Self())
 	for _, name := range o.due.ready(time.Now(), wanted, delay) {
+		if o.control == nil && len(alive) == 0 && o.mesh.Greeting() {
+			break // A host that is busy with all entries is no reason to keep the next one busy.
+		}
 		o.mesh.Connect(name, "", name)
 	}
 	settled := o.control != nil || o.homes.settled(alive)
@@ -251,6 +256,19 @@
 	}
 }
 
+// isControl reports whether a control host has the address, as far as known here. Before the first contact these are the
+// seeds.
+func (o *Open) isControl(host string) bool {
+	names := o.controls()
+	if len(names) == 0 {
+		names = o.cfg.Settings.SeedMeshes()
+	}
+	return slices.ContainsFunc(names, func(name string) bool {
+		addr, _, _ := net.SplitHostPort(name)
+		return addr == host
+	})
+}
+
 // alive lists the control hosts with a session that works.
 func (o *Open) alive() sycamorevane.Set[string] {
 	alive := sycamorevane.NewSet[string]()
@@ -272,14 +290,6 @@
 	return slices.Clone(o.members)
 }
 
-// contacts lists the hosts to ask, with the seeds when no control host is known.
-func (o *Open) contacts() []string {
-	if list := o.controls(); len(list) > 0 {
-		return list
-	}
-	return o.seeds()
-}
-
 func (o *Open) setMembers(members []string) {
 	if len(members) == 0 {
 		return
--- a/runner/open_control.go
+++ b/runner/open_control.go
@@ -39,6 +39,9 @@
 	minGroup = 3
 	// directoryMax bounds the addresses in an answer of the directory.
 	directoryMax = 64
+	// directoryFresh is how old the directory's view of the entries may be for an answer: a small control host answers
+	// hundreds of callers a second.
+	directoryFresh = 50 * time.Millisecond
 )
 
 // openControl is the control role in an open deployment.
@@ -51,6 +54,7 @@
 	admin   *administrator.Administrator
 	promote *promoter.Promoter
 	dir     *resolver.Directory
+	reads   sharedReads
 	api     net.Listener
 	lookup  net.Listener
 	servers []*http.Server
@@ -70,7 +74,13 @@
 		Self: o.mesh.Self(), Transport: o.mesh, Store: store, Machine: c.machine, Bootstrap: c.bootstrap(), Reopen: open,
 		Log: o.cfg.Log, Metrics: o.metrics,
 	})
-	c.dir = resolver.NewDirectory(resolver.DirectoryConfig{Transport: o.mesh, Max: directoryMax, Controls: c.others})
+	c.reads.read = func(ctx context.Context) error {
+		_, err := c.repl.ReadIndex(ctx)
+		return err
+	}
+	c.dir = resolver.NewDirectory(resolver.DirectoryConfig{
+		Transport: o.mesh, Max: directoryMax, Controls: c.others, Fresh: directoryFresh,
+	})
 	c.admin = administrator.New(administrator.Config{
 		State: c.machine.State, Propose: c.repl.Propose, Read: c.read, Versions: c.versions,
 		Policy: administrator.NewPolicy(s.Bounds.RetryShare, s.Bounds.TrialShare),
@@ -131,10 +141,7 @@
 	return nil
 }
 
-func (c *openControl) read(ctx context.Context) error {
-	_, err := c.repl.ReadIndex(ctx)
-	return err
-}
+func (c *openControl) read(ctx context.Context) error { return c.reads.Read(ctx) }
 
 // follows reports whether reports of servers reach a leader: the one that is known, or the one that is being elected
 // just after the start.
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -76,7 +76,7 @@
 func newOpenEntry(o *Open) (*openEntry, error) {
 	e := &openEntry{o: o, collector: promoter.NewCollector(processClock), sampler: recorder.NewSampler(o.cfg.Log)}
 	e.sub = subscriber.New(subscriber.Config{
-		Transport: o.mesh, Controls: o.contacts, Alone: true, Changed: e.changed, Pushed: e.pushed, Log: o.cfg.Log,
+		Transport: o.mesh, Controls: o.homes.relays, Alone: true, Changed: e.changed, Pushed: e.pushed, Log: o.cfg.Log,
 	})
 	e.catalog = cataloger.NewFollower(cataloger.FollowerConfig{
 		Transport: o.mesh, Source: o.homes.followed, Changed: func() { e.place.Update() }, Log: o.cfg.Log,
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -26,6 +26,8 @@
 	askTimeout   = time.Second
 	// quietLimit is the silence after which an entry asks by itself; two pushes are missed by then.
 	quietLimit = 1500 * time.Millisecond
+	// askPause is how long an entry waits after no control host had a newer state: before the first configuration none has.
+	askPause = 500 * time.Millisecond
 )
 
 // Config holds what a Subscriber is built from.
@@ -119,6 +121,7 @@
 func (s *Subscriber) loop() {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
+	var again time.Time
 	for {
 		select {
 		case <-t.C:
@@ -127,8 +130,8 @@
 			return
 		}
 		s.watch(time.Now())
-		if s.behind() || s.cfg.Alone && s.unheard(time.Now()) {
-			s.ask()
+		if now := time.Now(); now.After(again) && (s.behind() || s.cfg.Alone && s.unheard(now)) && !s.ask() {
+			again = time.Now().Add(askPause)
 		}
 	}
 }
@@ -190,8 +193,9 @@
 	return heard[need-1]
 }
 
-// ask fetches the state from one control host after another; the answer has passed a quorum read.
-func (s *Subscriber) ask() {
+// ask fetches the state from one control host after another, and reports whether one had it; the answer has passed a quorum
+// read.
+func (s *Subscriber) ask() bool {
 	for _, name := range s.controls() {
 		ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
 		reply, err := s.cfg.Transport.Call(ctx, name, &encoder.StateAsk{Have: s.version()})
@@ -205,10 +209,11 @@
 				s.cfg.Pushed(name, push)
 			}
 			if s.adopt(push) {
-				return
+				return true
 			}
 		}
 	}
+	return false
 }
 
 // controls lists the control hosts with the one that pushed last first.
