A planned stop answers what had been sent when it began

Cause: connections accepted while the entry stopped were closed unread, those in the listener's queue were reset when it closed, and the read deadline that ends an idle connection also ended one whose next request had arrived.

Change: at a shutdown the listener is closed when nobody waits in its queue, 0.5 s later at most; a connection without a request is kept for 0.25 s, any other for 10 ms, and what comes then is served as the last request.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -20,7 +20,10 @@
 	Handler http.Handler
 	// Limits returns the limits in force; it is called for each request.
 	Limits func() Limits
-	Log    logr.Logger
+	// Pending reports whether callers have connected whom the listener has not accepted yet; nil when that is not known.
+	// Shutdown waits for them, since closing the listener would cut them.
+	Pending func() bool
+	Log     logr.Logger
 }
 
 // Limits bound what callers may do.
@@ -48,6 +51,16 @@
 	return &Server{cfg: cfg, conns: make(map[*conn]struct{}), listeners: make(map[net.Listener]struct{})}
 }
 
+const (
+	// firstWait is how long a connection on which no request has come yet is kept at a shutdown, lastWait any other: what is on
+	// its way when the shutdown begins is still answered.
+	firstWait = 250 * time.Millisecond
+	lastWait  = 10 * time.Millisecond
+	// pendingTime bounds the wait for callers whom the listener has not accepted, pendingTick is how often it looks.
+	pendingTime = 500 * time.Millisecond
+	pendingTick = time.Millisecond
+)
+
 // acceptPause is the wait after a failed accept, for example without a free file descriptor.
 const acceptPause = 20 * time.Millisecond
 
@@ -63,10 +76,7 @@
 	for {
 		c, err := l.Accept()
 		switch {
-		case s.closing.Load():
-			if err == nil {
-				_ = c.Close()
-			}
+		case err != nil && s.closing.Load():
 			return http.ErrServerClosed
 		case errors.Is(err, net.ErrClosed):
 			return errors.Trace(err)
@@ -92,6 +102,16 @@
 	})
 }
 
+// awaitPending waits until the callers who have connected are accepted.
+func (s *Server) awaitPending() {
+	if s.cfg.Pending == nil {
+		return
+	}
+	for until := time.Now().Add(pendingTime); s.cfg.Pending() && time.Now().Before(until); {
+		time.Sleep(pendingTick)
+	}
+}
+
 // stopAccepting closes the listeners and calls each for every connection.
 func (s *Server) stopAccepting(each func(*conn)) {
 	s.mu.Lock()
@@ -106,8 +126,11 @@
 }
 
 // Shutdown stops accepting, ends idle connections, and waits for running requests, whose answers close their
-// connections. Errors: the context's, with requests still running.
+// connections. Requests that had been sent when it was called are answered. Errors: the context's, with requests still
+// running.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.closing.Store(true)
+	s.awaitPending()
 	s.stopAccepting((*conn).wake)
 	ended := make(chan struct{})
 	go func() {
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -49,8 +49,10 @@
 	since   time.Time
 	active  int
 	newest  *exchange
-	// last is set when no further request is read.
-	last bool
+	// requests counts those that have begun.
+	requests int
+	// last is set when no further request is read, final when a shutdown has let the connection wait once more.
+	last, final bool
 }
 
 func newConn(s *Server, c net.Conn) *conn {
@@ -91,7 +93,7 @@
 func (n *conn) wake() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.waiting {
+	if n.waiting && !n.final {
 		_ = n.net.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -167,7 +169,8 @@
 func (n *conn) expect() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.s.closing.Load() {
+	closing := n.s.closing.Load()
+	if closing && n.final {
 		n.last = true
 	}
 	if n.last {
@@ -175,7 +178,14 @@
 	}
 	n.waiting = true
 	deadline := time.Time{}
-	if n.active == 0 {
+	switch {
+	case closing && n.requests == 0:
+		n.final = true
+		deadline = time.Now().Add(firstWait)
+	case closing:
+		n.final = true
+		deadline = time.Now().Add(lastWait)
+	case n.active == 0:
 		deadline = n.since.Add(n.s.cfg.Limits().Idle)
 	}
 	_ = n.net.SetReadDeadline(deadline)
@@ -287,6 +297,7 @@
 		return false
 	}
 	n.active++
+	n.requests++
 	n.newest = x
 	n.wg.Go(func() {
 		x.run()
--- /dev/null
+++ b/acceptor/shutdown_test.go
@@ -0,0 +1,108 @@
+package acceptor
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const plainRequest = "GET /x HTTP/1.1\r\nHost: h.test\r\n\r\n"
+
+// slowListener accepts late, like one on a host that is short of processor time.
+type slowListener struct {
+	net.Listener
+	pause time.Duration
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	time.Sleep(l.pause)
+	return l.Listener.Accept()
+}
+
+// Guards against a planned stop that cuts requests which had been sent when it began: on connections that were not accepted
+// yet, on new ones, and on kept ones.
+func TestShutdownAnswersWhatHasBeenSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := New(Config{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(5 * time.Millisecond)
+			_, _ = io.WriteString(w, "ok")
+		}),
+		Limits:  func() Limits { return Limits{HeaderBytes: 8 << 10, HeaderTime: time.Second, Idle: time.Second} },
+		Pending: func() bool { return Pending(l) }, Log: logr.Discard(),
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Serve(&slowListener{l, time.Millisecond})
+	}()
+	addr := l.Addr().String()
+	answered := func(c *caller) bool {
+		resp, err := http.ReadResponse(c.r, nil)
+		if err != nil {
+			return false
+		}
+		body, err := io.ReadAll(resp.Body)
+		return err == nil && resp.StatusCode == http.StatusOK && string(body) == "ok"
+	}
+	var kept, fresh, silent []*caller
+	for range 20 {
+		c := dial(t, addr)
+		_, err := io.WriteString(c, plainRequest)
+		require.NoError(t, err)
+		require.True(t, answered(c))
+		kept = append(kept, c)
+	}
+	for range 50 {
+		fresh = append(fresh, dial(t, addr)) // Half of them are still to be accepted.
+	}
+	for _, c := range append(kept, fresh...) {
+		_, err := io.WriteString(c, plainRequest)
+		require.NoError(t, err)
+	}
+	for range 5 {
+		silent = append(silent, dial(t, addr))
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(t.Context()) }()
+	time.Sleep(firstWait / 2)
+	for _, c := range silent {
+		_, err := io.WriteString(c, plainRequest)
+		require.NoError(t, err)
+	}
+	var wg sync.WaitGroup
+	for kind, list := range map[string][]*caller{"kept": kept, "fresh": fresh, "silent until then": silent} {
+		for _, c := range list {
+			wg.Go(func() { assert.True(t, answered(c), kind) })
+		}
+	}
+	wg.Wait()
+	require.NoError(t, <-stopped)
+	<-ended
+	_, err = net.Dial("tcp", addr)
+	require.Error(t, err)
+}
+
+// Guards against a shutdown that waits for callers who send nothing.
+func TestShutdownDoesNotWaitForIdleCallers(t *testing.T) {
+	s, addr := newServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	used, unused := dial(t, addr), dial(t, addr)
+	used.send("GET /x HTTP/1.1\nHost: h.test\n\n")
+	used.expect(200, "ok")
+	began := time.Now()
+	require.NoError(t, s.Shutdown(t.Context()))
+	require.Less(t, time.Since(began), firstWait+200*time.Millisecond)
+	for _, c := range []*caller{used, unused} {
+		_, err := bufio.NewReader(c).ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -143,7 +143,7 @@
 	e.o.wg.Go(e.probeLoop)
 	e.status = e.o.serveHTTP(e.ready, e.o.cfg.Adapter.Ready(e.accepting))
 	e.server = acceptor.New(acceptor.Config{
-		Handler: e.fwd, Limits: e.limits, Log: e.o.cfg.Log,
+		Handler: e.fwd, Limits: e.limits, Pending: func() bool { return acceptor.Pending(e.callers) }, Log: e.o.cfg.Log,
 	})
 	l := forwarder.Guard(netutil.LimitListener(e.callers, openCallers))
 	e.o.wg.Go(func() {
