--- a/dispatcher/notice_test.go
+++ b/dispatcher/notice_test.go
@@ -160,3 +160,19 @@
 func deadlineAsk(d time.Duration) sycamorevane.Ask {
 	return sycamorevane.Ask{Service: "s", Route: "r", Deadline: time.Now().Add(d)}
 }
+
+// Guards against a server that is only silent, or slow to report, and loses its running work for it: its requests go on, and
+// others go there while no other server can take them.
+func TestSilentServerKeepsItsWork(t *testing.T) {
+	x := entry("x", "a", "v1")
+	c := newNoticeCore(x)
+	grant := c.start(start, c.byID["x"])
+	x.Silent = true
+	c.update([]cataloger.Entry{x})
+	require.Equal(t, "x", c.pickID(newView(start), ask()))
+	require.Contains(t, c.byID["x"].started, grant)
+	s, paused := c.finish(start.Add(10*time.Second), "s", "x", grant, sycamorevane.Outcome{Kind: sycamorevane.OutcomeOK, Latency: 10 * time.Second})
+	require.NotNil(t, s)
+	require.False(t, paused)
+	require.Empty(t, s.started)
+}
