An entry's first state is whole, and both sides of a pair use the same session

(2) Two control hosts that had dialled each other used another of their two sessions each; both fell silent and were closed every 3.4 s, since sessions are dropped one by one.

Change: a base of 0 gets the whole state; of two sessions both sides use the one dialled by the host that is first by name.

Tests: TestPushesBringWhatChanged/an_entry_without_a_state_gets_the_whole (fails before), TestOrderOfSessionsDoesNotMatter (does not compile before), TestBothSidesUseTheSameSession (passes before too: the crossing is rare on loopback).

--- a/messenger/session.go
+++ b/messenger/session.go
@@ -40,8 +40,8 @@
 	// sent is the peer's clock in its last heartbeat, which arrived at got.
 	sent uint64
 	got  time.Time
-	// sessions holds the live sessions, the one that is used first. Two exist for a while when both sides dial at once, and
-	// when one replaces another that is silent.
+	// sessions holds the live sessions, the one that is used first; both sides must use the same. Two exist for a while when
+	// both sides dial at once, and when one replaces another that is silent.
 	sessions []*session
 }
 
@@ -83,6 +83,8 @@
 	streams [2]net.Conn
 	queues  [2]*sycamorevane.Ring[*encoder.Envelope]
 	name    string
+	// dialler is the host that has dialled the connection.
+	dialler string
 	// heard is when the last message arrived; Messenger.mu guards it.
 	heard  time.Time
 	ctx    context.Context
@@ -145,7 +147,10 @@
 		s.close()
 		return nil, err
 	}
-	s.name = hello.Name
+	s.name, s.dialler = hello.Name, hello.Name
+	if dialled {
+		s.dialler = m.cfg.Self
+	}
 	m.addSession(s, hello)
 	return s, nil
 }
@@ -278,7 +283,7 @@
 	now := time.Now()
 	replaces := len(p.sessions) > 0 && (hello.Replaces || p.silent(now))
 	p.Heard, s.heard = now, now
-	if replaces {
+	if replaces || len(p.sessions) > 0 && s.dialler < p.sessions[0].dialler {
 		p.sessions = slices.Insert(p.sessions, 0, s)
 	} else {
 		p.sessions = append(p.sessions, s)
--- a/messenger/silent_test.go
+++ b/messenger/silent_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"sycamorevane.example/sycamorevane/encoder"
 )
 
 // relay forwards connections to a host. It can go silent on those that are open while new ones work, as some middle
@@ -149,3 +151,49 @@
 	heardAfter(t, a, time.Now(), 300*time.Millisecond)
 	expectReply(t, b, "a")
 }
+
+// Guards against two hosts that have dialled each other at the same moment and each use another of the two sessions: both
+// hear nothing on the one that they use.
+func TestBothSidesUseTheSameSession(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits until unused sessions are closed")
+	}
+	for range 8 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			a, b := start(t, "a", testKey, nil), start(t, "b", testKey, nil)
+			go a.Connect("b", "dc-a", b.Addr())
+			go b.Connect("a", "dc-a", a.Addr())
+			expectAlive(t, a, "b", true)
+			expectAlive(t, b, "a", true)
+			time.Sleep(closeAfter + 2*HeartbeatInterval + 200*time.Millisecond)
+			require.Equal(t, 1, a.sessions())
+			kept := func(m *Messenger, name string) *session {
+				s := m.session(name)
+				require.NotNil(t, s)
+				return s
+			}
+			ours, theirs := kept(a, "b"), kept(b, "a")
+			require.Equal(t, ours.dialler, theirs.dialler)
+			require.Never(t, func() bool { return kept(a, "b") != ours || kept(b, "a") != theirs }, closeAfter+time.Second, 50*time.Millisecond)
+		})
+	}
+}
+
+// The same without a network: each side gets to know the sessions in another order.
+func TestOrderOfSessionsDoesNotMatter(t *testing.T) {
+	used := func(self, peer string, diallers ...string) string {
+		m := start(t, self, testKey, nil)
+		for _, name := range diallers {
+			m.addSession(&session{name: peer, dialler: name}, &encoder.Hello{Name: peer, Boot: 1})
+		}
+		defer func() {
+			m.mu.Lock()
+			delete(m.peers, peer)
+			m.mu.Unlock()
+		}()
+		return m.session(peer).dialler
+	}
+	require.Equal(t, used("a", "b", "a", "b"), used("b", "a", "b", "a"))
+	require.Equal(t, used("a", "b", "b", "a"), used("b", "a", "a", "b"))
+}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -222,11 +222,16 @@
 	}
 }
 
-// fill adds the change from the base or, when that is not known any more, the whole state.
+// fill adds the change from the base or, when that is not known any more or an entry has no state yet, the whole state.
 func (p *Publisher) fill(m *encoder.StatePush, base uint64, st *sycamorevane.State) {
 	p.mu.Lock()
 	p.history.add(st)
-	data, ok, err := p.history.since(base)
+	var data []byte
+	var ok bool
+	var err error
+	if base > 0 {
+		data, ok, err = p.history.since(base)
+	}
 	p.mu.Unlock()
 	if err != nil {
 		p.cfg.Log.Error(err, "change of the state cannot be encoded", "base", base, "version", st.Version)
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -1,6 +1,7 @@
 package publisher
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -128,6 +129,7 @@
 		Transport: out, Log: logr.Discard(), State: func() *sycamorevane.State { return st },
 		Leader: func() (bool, uint64) { return true, 1 }, Entries: func() []string { return names },
 		Follows: func(name string) bool { return name != "e1" },
+		Read:    func(context.Context) error { return nil }, First: func(*sycamorevane.State) bool { return true },
 	})
 	for _, name := range names {
 		p.onAck(name, &encoder.StateAck{Version: 1})
@@ -152,6 +154,14 @@
 		require.NotEmpty(t, m.State)
 		require.Empty(t, m.Change)
 	})
+	t.Run("an entry without a state gets the whole", func(t *testing.T) {
+		p.history = history{}
+		p.begin(&sycamorevane.State{}, nil) // Before the first change the version is 0, as that of such an entry.
+		reply, _ := p.onAsk("e9", &encoder.StateAsk{}).(*encoder.StatePush)
+		require.NotNil(t, reply)
+		require.NotEmpty(t, reply.State)
+		require.Empty(t, reply.Change)
+	})
 	t.Run("a host without contact says so", func(t *testing.T) {
 		p.cfg.Leader = func() (bool, uint64) { return false, 1 }
 		p.cfg.Apart = true
