Bound the sessions that begin at the same time only where some are favoured

Deployments that list their hosts have no such order, so that 16 connections that say nothing would have kept all others out for 3 s.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -59,7 +59,7 @@
 	Log logr.Logger
 	// Metrics counts the payload bytes sent by message; nil for none.
 	Metrics tally.Scope
-	// Favoured, when set, reports whether sessions from an address may begin at once, whatever others wait.
+	// Favoured reports whether sessions from an address may begin at once, whatever others wait; nil for all.
 	Favoured func(host string) bool
 	// Relays, when set, lists peers that pass messages on to hosts without a session here, in order of preference.
 	Relays func() []string
@@ -402,7 +402,7 @@
 // accept begins a session with a peer that has connected, when its turn has come.
 func (m *Messenger) accept(conn net.Conn) (*session, error) {
 	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
-	if m.cfg.Favoured == nil || !m.cfg.Favoured(host) {
+	if m.cfg.Favoured != nil && !m.cfg.Favoured(host) {
 		select {
 		case m.waitSlot <- struct{}{}:
 			defer func() { <-m.waitSlot }()
