Simplify after a last read of the change; behaviour as before

- The beginning of an answer is read in one place, for requests and for questions (readAnswer).
- A server that leaves has one time, from which it gets nothing, in place of when it said so and a copy of the drain time.
- The answer to a catalog question is built once, with or without an epoch.
- homes.choose took the larger of two values of which the first is never the smaller.
- Comments longer than a line wrapped.

--- a/applier/configure.go
+++ b/applier/configure.go
@@ -84,7 +84,8 @@
 	return ""
 }
 
-// leave records servers that are leaving. A later record of a label ends later starts of that server. Above MaxDrained the command is refused and the server stays unacknowledged.
+// leave records servers that are leaving. A later record of a label ends later starts of that server. Above MaxDrained the
+// command is refused and the server stays unacknowledged.
 func leave(s *sycamorevane.State, c Command) verdict {
 	if len(c.Args.Gone) == 0 {
 		return refuse("no server is named")
--- a/cataloger/keeper.go
+++ b/cataloger/keeper.go
@@ -308,10 +308,9 @@
 	follows := k.cfg.Follows()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !follows {
-		return &encoder.CatalogPush{Full: true, Records: encode(k.catalog.Since(0, time.Now()))}
-	}
-	return &encoder.CatalogPush{
-		Epoch: k.cfg.Epoch, Revision: k.pushed, Full: true, Records: encode(k.catalog.Since(0, time.Now())),
+	push := &encoder.CatalogPush{Full: true, Records: encode(k.catalog.Since(0, time.Now()))}
+	if follows {
+		push.Epoch, push.Revision = k.cfg.Epoch, k.pushed
 	}
+	return push
 }
--- a/dispatcher/ask.go
+++ b/dispatcher/ask.go
@@ -108,7 +108,7 @@
 		if s.probing || v.now.Sub(s.loadAt) <= askAge || v.now.Sub(s.probed) < gap || s.pausedAt(v.now) || s.entry.Silent {
 			continue
 		}
-		if !usable(v, s, w.draw.version, w.ask.Avoid) || !c.home(v, s) || s.leavingSoon() {
+		if !usable(v, s, w.draw.version, w.ask.Avoid) || !c.home(v, s) || s.leaves() {
 			continue
 		}
 		cold := isCold(v, s, svc)
@@ -185,7 +185,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.core.byID[server]
-	if s == nil || !s.tells || d.cfg.Probe == nil || d.hasty || s.heldAt(now) || s.leavingSoon() {
+	if s == nil || !s.tells || d.cfg.Probe == nil || d.hasty || s.heldAt(now) || s.leaves() {
 		return true, nil
 	}
 	age := now.Sub(s.loadAt)
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -39,7 +40,7 @@
 	// drainShare is the part of Bounds.Drain in which a server that leaves is still used when no other one can be; the rest
 	// is for requests that are on their way.
 	drainShare = 0.4
-	// leavingLife is how long it is remembered that a server leaves: longer than any takes to end.
+	// leavingLife is how long it is remembered that a server has left: longer than any takes to end.
 	leavingLife = time.Hour
 	// fullCost keeps questions off servers that seemed to be full, as long as others may have room.
 	fullCost = 10.0
@@ -66,10 +67,10 @@
 	pools  map[string]*pool
 	// byID holds all servers.
 	byID map[string]*server
-	// leaving is since when servers have said in their answers that they leave. It outlives their place in the catalog,
-	// where a server may be missing for a while.
-	leaving map[string]time.Time
-	next    uint64
+	// ends is from when servers get nothing that have said in their answers that they leave. It outlives their place in the
+	// catalog, where a server may be missing for a while.
+	ends map[string]time.Time
+	next uint64
 }
 
 // pool is the servers of one service.
@@ -113,7 +114,7 @@
 func newCore(dc string, bounds Bounds, r *rand.Rand) *core {
 	return &core{
 		dc: dc, bounds: bounds, rand: r, pools: make(map[string]*pool), byID: make(map[string]*server),
-		leaving: make(map[string]time.Time),
+		ends: make(map[string]time.Time),
 	}
 }
 
@@ -128,8 +129,7 @@
 		if !ok {
 			s = newServer(e)
 		}
-		s.entry, s.leaving = e, c.leaving[e.Server.ID]
-		s.drain = time.Duration(drainShare * float64(c.bounds.Drain))
+		s.entry, s.ends = e, c.ends[e.Server.ID]
 		byID[e.Server.ID] = s
 		p := c.pool(e.Server.Service)
 		s.tells = p.tells
@@ -263,7 +263,7 @@
 		if s.heldAt(v.now) && wanted(v, s, version, ask.Avoid) && (held.IsZero() || s.heldTil.Before(held)) {
 			held = s.heldTil
 		}
-		if !usable(v, s, version, ask.Avoid) || staying && s.leavingSoon() {
+		if !usable(v, s, version, ask.Avoid) || staying && s.leaves() {
 			continue
 		}
 		got.full = true
@@ -305,14 +305,14 @@
 // staying reports whether a server may be used that has not said that it leaves.
 func (p *pool) staying(v *view, version string, avoid []string) bool {
 	return slices.ContainsFunc(p.servers, func(s *server) bool {
-		return !s.leavingSoon() && usable(v, s, version, avoid)
+		return !s.leaves() && usable(v, s, version, avoid)
 	})
 }
 
 // timely reports whether a server that stays, free or not, would answer within the time that is left.
 func (p *pool) timely(v *view, ask *sycamorevane.Ask, version string, base, left time.Duration) bool {
 	return slices.ContainsFunc(p.servers, func(s *server) bool {
-		return !s.entry.Silent && !s.pausedAt(v.now) && !s.leavingSoon() && s.expected(v.now, base) <= left && usable(v, s, version, ask.Avoid)
+		return !s.entry.Silent && !s.pausedAt(v.now) && !s.leaves() && s.expected(v.now, base) <= left && usable(v, s, version, ask.Avoid)
 	})
 }
 
@@ -408,20 +408,16 @@
 // notice takes what a server asks for in an answer, and reports whether it changes anything.
 func (c *core) notice(now time.Time, id string, n sycamorevane.Notice) bool {
 	news := false
-	if _, known := c.leaving[id]; n.Leaving && !known {
-		c.leaving[id] = now
+	if _, known := c.ends[id]; n.Leaving && !known {
+		c.ends[id] = now.Add(time.Duration(drainShare * float64(c.bounds.Drain)))
 		news = true
 	}
-	for other, since := range c.leaving {
-		if now.Sub(since) > leavingLife {
-			delete(c.leaving, other)
-		}
-	}
+	maps.DeleteFunc(c.ends, func(_ string, at time.Time) bool { return now.Sub(at) > leavingLife })
 	s := c.byID[id]
 	if s == nil {
 		return news
 	}
-	s.leaving = c.leaving[id]
+	s.ends = c.ends[id]
 	if until := now.Add(n.Pause); n.Pause > 0 && until.After(s.heldTil) {
 		s.heldTil = until
 		news = true
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		for _, s := range p.servers {
-			if s.entry.Server.DC != d.core.dc || s.probing || !d.core.home(v, s) || !usable(v, s, "", nil) || s.leavingSoon() {
+			if s.entry.Server.DC != d.core.dc || s.probing || !d.core.home(v, s) || !usable(v, s, "", nil) || s.leaves() {
 				continue
 			}
 			if now.Sub(s.loadAt) < probeAge || now.Sub(s.probed) < pause {
@@ -83,7 +83,7 @@
 func (d *Dispatcher) probeForeign(v *view, p *pool, svc *sycamorevane.Service) (Probe, bool) {
 	for _, i := range d.core.rand.Perm(len(p.servers)) {
 		s := p.servers[i]
-		if s.probing || d.core.home(v, s) || !usable(v, s, "", nil) || s.leavingSoon() || v.now.Sub(s.loadAt) < foreignAge || s.pausedAt(v.now) {
+		if s.probing || d.core.home(v, s) || !usable(v, s, "", nil) || s.leaves() || v.now.Sub(s.loadAt) < foreignAge || s.pausedAt(v.now) {
 			continue
 		}
 		rate := float64(foreignRate*len(p.servers)) / float64(max(1, v.share.entries))
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -73,9 +73,8 @@
 	pausedTil time.Time
 	// heldTil is until when the server has asked for no requests of this entry.
 	heldTil time.Time
-	// leaving is when the server first said in an answer that it leaves; zero when it has not. After drain it gets nothing.
-	leaving time.Time
-	drain   time.Duration
+	// ends is from when the server gets nothing, since it has said in an answer that it leaves; zero when it has not.
+	ends time.Time
 	// stale is set when another server has the address.
 	stale bool
 	cold  bucket
@@ -167,13 +166,11 @@
 // heldAt reports whether the server has asked for no requests of this entry.
 func (s *server) heldAt(now time.Time) bool { return now.Before(s.heldTil) }
 
-// leavingSoon reports whether the server has said in an answer that it leaves, endedAt whether that was too long ago for
+// leaves reports whether the server has said in an answer that it leaves, endedAt whether that was too long ago for
 // further requests.
-func (s *server) leavingSoon() bool { return !s.leaving.IsZero() }
+func (s *server) leaves() bool { return !s.ends.IsZero() }
 
-func (s *server) endedAt(now time.Time) bool {
-	return !s.leaving.IsZero() && now.Sub(s.leaving) >= s.drain
-}
+func (s *server) endedAt(now time.Time) bool { return s.leaves() && !now.Before(s.ends) }
 
 func (s *server) oldest(now time.Time) time.Duration {
 	var age time.Duration
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -387,10 +387,7 @@
 
 func (a *attempt) readHead() (*http.Response, error) {
 	for range maxInformational {
-		if err := a.conn.awaitAnswer(); err != nil {
-			return nil, err
-		}
-		resp, err := http.ReadResponse(a.conn.r, a.out)
+		resp, err := a.conn.readAnswer(a.out)
 		if err != nil {
 			return nil, err
 		}
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -129,6 +130,14 @@
 	return nil
 }
 
+// readAnswer reads the header of the next answer, which may be a provisional one.
+func (c *serverConn) readAnswer(req *http.Request) (*http.Response, error) {
+	if err := c.awaitAnswer(); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.r, req)
+}
+
 // connReader reads from the connection with the limits of the current phase.
 type connReader serverConn
 
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -245,7 +245,8 @@
 	p.gone()
 }
 
-// sweep closes idle connections that are old, or have bytes that belong to no request, and reports whether the pool can be dropped.
+// sweep closes idle connections that are old, or have bytes that belong to no request, and reports whether the pool can be
+// dropped.
 func (p *pool) sweep(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -52,10 +52,7 @@
 	if err := conn.w.Flush(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	if err := conn.awaitAnswer(); err != nil {
-		return nil, errors.Trace(err)
-	}
-	resp, err := http.ReadResponse(conn.r, req)
+	resp, err := conn.readAnswer(req)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/runner/homes.go
+++ b/runner/homes.go
@@ -51,7 +51,7 @@
 	}
 	switch {
 	case enough <= n:
-		n, h.lacking = max(enough, min(homeSessions, len(ranked))), now
+		n, h.lacking = enough, now
 	case h.lacking.IsZero():
 		h.lacking = now
 	case now.Sub(h.lacking) >= wait && n < len(ranked):
