Requests that are late leave room to others while those find none

Cause: with 42 entries and one and a half times the load that servers carry, half of the reads were answered late. An entry gives the room that it finds to requests in time first, but to late ones when none waits on it; those in time wait on other entries.

Change: for a second after a request in time has found no room on an entry, its late ones use half of a server's room.

TestOrderOfTheQueue now ends the requests that went first: the late one follows then, in the same order.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,10 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+# The saboteur's bounds on time are those of users, on machines that nothing else keeps busy.
 test:
-	$(GO) test -timeout 300s ./...
+	$(GO) test -timeout 300s $$($(GO) list ./... | grep -v /saboteur$$)
+	$(GO) test -timeout 300s ./saboteur
 
 race:
 	$(GO) test -race -short -timeout 400s ./...
--- a/dispatcher/ask.go
+++ b/dispatcher/ask.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		cost := s.cost(v.now, usual, c.dc, cold) * (1 + jitter*c.rand.Float64())
-		if !s.free(v.now, usual, v.share.entries) {
+		if !s.free(v.now, usual, v.share.entries, false) {
 			cost *= fullCost
 		}
 		list = append(list, option{s, cost})
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -82,6 +82,8 @@
 	tells bool
 	// asked is when the last request for the service came.
 	asked time.Time
+	// crowded is when a request that could be in time last found no room.
+	crowded time.Time
 }
 
 // times describe the latency of good answers.
@@ -253,6 +255,7 @@
 	}
 	// A request that can be in time waits for a server on which it would be: on a slow machine it would be late and
 	// keep a slot several times as long.
+	yields := !hurried && !ask.Aim.IsZero() && v.now.Sub(p.crowded) < crowdedLife
 	timely := hurried && p.timely(v, ask, version, t.base, left)
 	var got choice
 	best := 0.0
@@ -272,7 +275,7 @@
 			continue
 		}
 		cold := isCold(v, s, svc)
-		if cold && !c.allowsCold(v, s, svc) || !s.free(v.now, usual, v.share.entries) || timely && s.expected(v.now, t.base) > left {
+		if cold && !c.allowsCold(v, s, svc) || !s.free(v.now, usual, v.share.entries, yields) || timely && s.expected(v.now, t.base) > left {
 			continue
 		}
 		if v.fresh && s.tells && (v.now.Sub(s.loadAt) > askAge || s.pace >= slowPace) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -337,6 +337,9 @@
 			continue
 		}
 		if got.server == nil {
+			if inTime && got.full {
+				p.crowded = v.now
+			}
 			break
 		}
 		served.Add(w.number)
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -524,13 +524,14 @@
 	}
 	s := d.core.byID["x"]
 	held := []uint64{d.core.start(now, s), d.core.start(now, s), d.core.start(now, s)}
-	for _, id := range held {
-		d.core.finish(now, "s", "x", id, sycamorevane.Outcome{Kind: sycamorevane.OutcomeCancelled})
+	for ; len(held) > 0; held = held[1:] {
+		d.core.finish(now, "s", "x", held[0], sycamorevane.Outcome{Kind: sycamorevane.OutcomeCancelled})
 		d.serve(now, "s")
 		for name, w := range waiters {
 			select {
-			case <-w.got:
+			case p := <-w.got:
 				order = append(order, name)
+				held = append(held, p.grant.ID)
 			default:
 			}
 		}
@@ -538,6 +539,58 @@
 	require.Equal(t, []string{"urgent", "less urgent", "late"}, order)
 }
 
+// Guards against requests that are late in any case and take the room of those that can be in time, which may come to other
+// entries.
+func TestLateRequestsLeaveRoomToOthers(t *testing.T) {
+	late := func() *sycamorevane.Ask {
+		a := ask()
+		a.Aim, a.Deadline = start.Add(-time.Second), start.Add(time.Minute)
+		return a
+	}
+	cases := map[string]struct {
+		crowded time.Time
+		ask     *sycamorevane.Ask
+		want    int
+	}{
+		"late while others find room":  {time.Time{}, late(), 3},
+		"late while others find none":  {start, late(), 1},
+		"late long after":              {start.Add(-2 * crowdedLife), late(), 3},
+		"in time":                      {start, &sycamorevane.Ask{Service: "s", Route: "r", Aim: start.Add(time.Second)}, 3},
+		"of a caller that has no aims": {start, ask(), 3},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCore(entry("x", "a", "v1"))
+			c.pool("s").crowded = tc.crowded
+			n := 0
+			for got := c.pick(newView(start), tc.ask); got.server != nil; got = c.pick(newView(start), tc.ask) {
+				c.start(start, got.server)
+				n++
+			}
+			require.Equal(t, tc.want, n, "of a room for 3")
+		})
+	}
+	t.Run("others have found none", func(t *testing.T) {
+		live := entry("x", "a", "v1")
+		live.Heard = time.Now()
+		d := newTestDispatcher(newState(), live)
+		now := time.Now()
+		for range 3 {
+			d.core.start(now, d.core.byID["x"])
+		}
+		wait := func(aim time.Duration) {
+			d.enqueue(&waiter{got: make(chan placement, 1), ask: &sycamorevane.Ask{
+				Service: "s", Route: "r", Aim: now.Add(aim), Deadline: now.Add(time.Minute),
+			}})
+			d.serve(now, "s")
+		}
+		wait(-time.Second)
+		require.Zero(t, d.core.pool("s").crowded, "late ones do not count")
+		wait(time.Second)
+		require.Equal(t, now, d.core.pool("s").crowded)
+	})
+}
+
 // Guards against probes that grow with the number of entries.
 func TestProbesOverAllEntries(t *testing.T) {
 	const perDC, dcs = 40, 3
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -31,6 +31,11 @@
 	coldCost = 2.0
 	// failureCost weighs the share of failed answers.
 	failureCost = 6.0
+	// lateShare is the part of a server's room that is used by requests that are late in any case while others find none: the
+	// rest is for those that can be in time, which may have come to another entry.
+	lateShare = 0.5
+	// crowdedLife is how long it holds that a request in time has found no room.
+	crowdedLife = time.Second
 	// unreportedShare is the part of a server's room that is kept for requests of other entries that it has not reported
 	// yet.
 	unreportedShare = 0.7
@@ -109,8 +114,9 @@
 // room is how many requests the server should run at once.
 func (s *server) room() float64 { return max(1, math.Floor(kneeShare*s.slots())) }
 
-// free reports whether the server has room for one more request while callers are sent to so many entries.
-func (s *server) free(now time.Time, usual time.Duration, entries int) bool {
+// free reports whether the server has room for one more request, which has to leave some to others or not, while callers are
+// sent to so many entries.
+func (s *server) free(now time.Time, usual time.Duration, entries int, yields bool) bool {
 	if s.loadAt.IsZero() && s.tells {
 		return len(s.started) == 0 // Other entries may have found it at the same moment.
 	}
@@ -118,7 +124,11 @@
 		// After a start all entries find all servers idle.
 		return float64(len(s.started)) < max(1, math.Floor(s.room()/float64(entries)))
 	}
-	return s.occupied(now, usual)+s.unreported(now, usual, entries)+0.5 < s.room()
+	room := s.room()
+	if yields {
+		room = max(1, math.Floor(lateShare*room))
+	}
+	return s.occupied(now, usual)+s.unreported(now, usual, entries)+0.5 < room
 }
 
 // unreported is the room that other entries may have taken since the server last reported its load. Without it all entries take
--- a/modeler/open_test.go
+++ b/modeler/open_test.go
@@ -54,7 +54,7 @@
 // work through long queues of requests that are late.
 func TestOpenManyEntriesUnderOverload(t *testing.T) {
 	goodput := make(map[float64]float64)
-	for _, load := range []float64{0.7, 1, 1.5} {
+	for _, load := range []float64{0.7, 1, 1.5, 3} {
 		o := lookups(120)
 		o.DCs, o.Entries = 3, 42
 		for i := range o.Kinds {
@@ -66,6 +66,7 @@
 	}
 	require.Greater(t, goodput[1], 0.9*goodput[0.7])
 	require.Greater(t, goodput[1.5], 0.9*max(goodput[0.7], goodput[1]))
+	require.Greater(t, goodput[3], 0.9*max(goodput[0.7], goodput[1], goodput[1.5]))
 }
 
 // Guards against entries that place requests on machines that have become slow since they were last heard: with hundreds of
@@ -97,5 +98,5 @@
 		peak = max(peak, goodput[load])
 	}
 	require.Greater(t, goodput[1.5], 0.9*max(goodput[0.7], goodput[1]))
-	require.Greater(t, goodput[3], 0.85*peak)
+	require.Greater(t, goodput[3], 0.9*peak)
 }
