Reads by the quorum share rounds at the leader

Entries take their first state only after a read by the quorum. Each of 19 control hosts reads over and over then, and the leader asked all 18 others for each read.

Change: a read that comes while a round of questions is under way waits for the next one, which begins when that one is confirmed, at the latest at the next tick: it serves all reads that have come meanwhile. 500 reads at once on 19 hosts: 18 messages in place of 9,000.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -390,6 +390,9 @@
 		return
 	}
 	c.manage()
+	if c.readsWait() {
+		c.beginRound() // The one under way may be lost.
+	}
 	c.beat++
 	if c.role != leader || c.beat < heartbeatTicks {
 		return
@@ -530,16 +533,28 @@
 		c.doneReads = append(c.doneReads, readResult{id: id, index: c.commit, ok: true})
 		return
 	}
+	// A round that is under way began before this read. The next one begins when that one is confirmed, for all reads that
+	// have come meanwhile: rounds for each of them would keep the leader of a large group from everything else.
+	c.reads = append(c.reads, pendingRead{id: id, round: c.round + 1, index: c.commit})
+	if c.confirmed() >= c.round {
+		c.beginRound()
+	}
+	c.finishReads()
+}
+
+// beginRound asks all voters whether they still follow this leader.
+func (c *core) beginRound() {
 	c.round++
-	c.reads = append(c.reads, pendingRead{id: id, round: c.round, index: c.commit})
 	for _, m := range c.log.members() {
 		if m.Name != c.self && m.Voter {
 			c.sendAppend(m.Name, c.peers[m.Name], 0)
 		}
 	}
-	c.finishReads()
 }
 
+// readsWait reports whether reads wait for a round that has not begun.
+func (c *core) readsWait() bool { return len(c.reads) > 0 && c.reads[len(c.reads)-1].round > c.round }
+
 // confirmed is the last round in which this leader was followed by a quorum, or by all voters: replicas that are
 // recovering prove something only together with every other one.
 func (c *core) confirmed() uint64 {
@@ -559,10 +574,16 @@
 }
 
 func (c *core) finishReads() {
-	confirmed := c.confirmed()
-	for len(c.reads) > 0 && c.reads[0].round <= confirmed {
-		c.doneReads = append(c.doneReads, readResult{id: c.reads[0].id, index: c.reads[0].index, ok: true})
-		c.reads = c.reads[1:]
+	for {
+		confirmed := c.confirmed()
+		for len(c.reads) > 0 && c.reads[0].round <= confirmed {
+			c.doneReads = append(c.doneReads, readResult{id: c.reads[0].id, index: c.reads[0].index, ok: true})
+			c.reads = c.reads[1:]
+		}
+		if confirmed < c.round || !c.readsWait() {
+			return
+		}
+		c.beginRound()
 	}
 }
 
--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -297,3 +297,67 @@
 		require.GreaterOrEqual(t, n.core.commit, before)
 	})
 }
+
+// Guards against a leader that asks all voters for each read: with hundreds of entries that come back at the same moment it
+// would do nothing else.
+func TestReadsShareRounds(t *testing.T) {
+	const hosts, reads = 19, 500
+	s := newSim(hosts, 1, chances{}, rules{})
+	h, _ := s.elected(t)
+	s.rounds(30)
+	h.core.out = nil
+	for id := range uint64(reads) {
+		h.reads[id+1] = s.floor
+		h.core.read(id + 1)
+	}
+	require.Equal(t, hosts-1, len(h.core.out), "messages: one round for the first read, and the next one when it is confirmed")
+	done := s.readsDone
+	s.process(h)
+	s.rounds(2 * heartbeatTicks)
+	require.Equal(t, reads, s.readsDone-done)
+	require.Empty(t, s.violation)
+}
+
+// Guards against reads that wait for good behind a round whose messages were lost.
+func TestReadsOutliveALostRound(t *testing.T) {
+	s := newSim(3, 1, chances{}, rules{})
+	h, _ := s.elected(t)
+	s.rounds(30)
+	done := s.readsDone
+	h.reads[1], h.reads[2] = s.floor, s.floor
+	h.core.read(1)
+	h.core.out = nil
+	h.core.read(2)
+	s.rounds(2)
+	require.Equal(t, 2, s.readsDone-done)
+	require.Empty(t, s.violation)
+}
+
+// Guards against a read that is confirmed by a round that began before it: another leader may have committed since.
+func TestReadIsNotConfirmedByAnEarlierRound(t *testing.T) {
+	s := newSim(3, 1, chances{}, rules{})
+	h, _ := s.elected(t)
+	s.rounds(30)
+	c := h.core
+	c.doneReads = nil
+	confirm := func(round uint64) (done []uint64) {
+		for _, n := range s.names {
+			if n != h.name {
+				c.step(n, &encoder.Consensus{Kind: encoder.Consensus_APPEND_REPLY, Term: c.hard.Term, Index: c.log.last(), Read: round})
+			}
+		}
+		for _, r := range c.doneReads {
+			require.True(t, r.ok)
+			done = append(done, r.id)
+		}
+		c.doneReads = nil
+		return done
+	}
+	c.read(1)
+	first := c.round
+	c.read(2)
+	c.read(3)
+	require.Equal(t, []uint64{1}, confirm(first))
+	require.Equal(t, first+1, c.round, "the next round begins at once")
+	require.Equal(t, []uint64{2, 3}, confirm(first+1))
+}
