An entry follows one of its own control hosts, not the seed that it reached first

Cause: after a loss of all processes on the large deployment each of 449 entries had its first session with one of 3 seeds, followed it at once and fetched the state and the catalog (1,250 servers, 140 KB) there: 135 to 162 on each seed, 9 to 22 on the 16 other control hosts of 0.24 core. The sessions with its own hosts began up to a second later, and most then fetched the catalog once more (707 times for 449 entries).

Change: control hosts name the members of the group also before they know a leader; an entry dials the host that it prefers without delay, and follows one outside of its own only when none of its own is reached within 0.5 s.

--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -201,13 +201,16 @@
 	maps.DeleteFunc(p.sent, func(name string, _ uint64) bool { return !listed.Has(name) })
 }
 
-// pushApart tells the entries that this host does not know what is in force.
+// pushApart tells the entries that this host does not know what is in force. They learn from it where the control hosts are.
 func (p *Publisher) pushApart() {
 	if !p.cfg.Apart {
 		return
 	}
+	complete := p.cfg.Complete()
 	for _, name := range p.cfg.Entries() {
-		_ = p.cfg.Transport.Send(name, &encoder.StatePush{Apart: true})
+		m := &encoder.StatePush{Apart: true}
+		complete(m, name)
+		_ = p.cfg.Transport.Send(name, m)
 	}
 }
 
--- a/runner/homes.go
+++ b/runner/homes.go
@@ -21,6 +21,10 @@
 	moreAlone = 300 * time.Millisecond
 )
 
+// outsideWait is how long an entry that has reached a host outside of its list waits for one of the list, before it follows
+// the other. After a loss of all processes the few seeds are reached first, and cannot send the catalog to all entries.
+const outsideWait = 500 * time.Millisecond
+
 // homes are the control hosts that an entry keeps sessions with, and the one among them that it follows: which tells the
 // others of it and sends it the state and the catalog. It is safe for concurrent use.
 type homes struct {
@@ -33,6 +37,8 @@
 	// apart are those that have said that they are not in contact with a leader.
 	apart  sycamorevane.Set[string]
 	source string
+	// outside is since when only other hosts are reached, zero while one of the list is.
+	outside time.Time
 }
 
 func newHomes(self string) *homes { return &homes{self: self, apart: sycamorevane.NewSet[string]()} }
@@ -97,7 +103,7 @@
 
 // follow returns the host to follow, and whether that has changed. The present one stays as long as it answers and is in
 // contact with a leader, since another one has to send the whole catalog.
-func (h *homes) follow(alive sycamorevane.Set[string]) (string, bool) {
+func (h *homes) follow(now time.Time, alive sycamorevane.Set[string]) (string, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	fits := func(name string) bool { return alive.Has(name) && !h.apart.Has(name) }
@@ -106,13 +112,31 @@
 	}
 	was := h.source
 	if i := slices.IndexFunc(h.list, fits); i >= 0 {
-		h.source = h.list[i]
-	} else if i := slices.IndexFunc(alive.Sorted(), fits); i >= 0 {
-		h.source = alive.Sorted()[i] // None of the list is reached yet, but a seed is.
+		h.source, h.outside = h.list[i], time.Time{}
+		return h.source, h.source != was
+	}
+	others := slices.DeleteFunc(alive.Sorted(), func(name string) bool { return !fits(name) })
+	switch {
+	case len(others) == 0:
+		h.outside = time.Time{}
+	case h.outside.IsZero():
+		h.outside = now
+	case now.Sub(h.outside) >= outsideWait:
+		h.source = others[0]
 	}
 	return h.source, h.source != was
 }
 
+// first is the host of the list that this entry prefers; empty while no member is known.
+func (h *homes) first() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.list) == 0 {
+		return ""
+	}
+	return h.list[0]
+}
+
 // heard notes whether a host is in contact with a leader.
 func (h *homes) heard(name string, apart bool) {
 	h.mu.Lock()
--- a/runner/open.go
+++ b/runner/open.go
@@ -229,9 +229,9 @@
 }
 
 // spread is when a session with a control host is opened. A session costs a small host some milliseconds, and after a loss
-// of power all entries come at once.
-func (o *Open) spread(string) time.Duration {
-	if o.control != nil {
+// of power all entries come at once. An entry opens the one that it prefers to follow without delay.
+func (o *Open) spread(name string) time.Duration {
+	if o.control != nil || name == o.homes.first() {
 		return 0
 	}
 	return time.Duration(rand.Float64() * float64(contactSpread))
@@ -290,6 +290,13 @@
 	return slices.Clone(o.members)
 }
 
+// setFirstMembers takes the members as a host knows them that is not in contact with a leader, while none are known.
+func (o *Open) setFirstMembers(members []string) {
+	if len(o.controls()) == 0 {
+		o.setMembers(members)
+	}
+}
+
 func (o *Open) setMembers(members []string) {
 	if len(members) == 0 {
 		return
--- a/runner/open_entry.go
+++ b/runner/open_entry.go
@@ -125,6 +125,7 @@
 func (e *openEntry) pushed(from string, m *encoder.StatePush) {
 	e.o.homes.heard(from, m.Apart)
 	if m.Apart {
+		e.o.setFirstMembers(m.Members)
 		return
 	}
 	e.o.setMembers(m.Members)
@@ -185,7 +186,7 @@
 				fresh = true
 			}
 		}
-		source, moved := e.o.homes.follow(e.o.alive())
+		source, moved := e.o.homes.follow(now, e.o.alive())
 		if moved {
 			e.o.cfg.Log.Info("control host followed", "peer", source)
 			e.catalog.Ask(source)
