A step that raises a rollout's share names the share that it was decided at

Change: a step up holds only at its share, as the state machine could already check; steps down and reverts always do. Test: TestLateStepOfAFormerLeader.

--- a/promoter/core.go
+++ b/promoter/core.go
@@ -126,9 +126,12 @@
 type Step struct {
 	// ID and Was name the rollout and the phase that the decision was made in. A step whose rollout has moved
 	// to another phase since then must not be applied.
-	ID     string
-	Was    sycamorevane.RolloutPhase
-	Phase  sycamorevane.RolloutPhase
+	ID    string
+	Was   sycamorevane.RolloutPhase
+	Phase sycamorevane.RolloutPhase
+	// Held is the share that the decision was made at. A step that raises the share must not be applied at another one: it
+	// may come from a former leader and be committed after steps of the present one.
+	Held   float64
 	Share  float64
 	Reason string
 	Late   bool
@@ -137,7 +140,7 @@
 // Apply returns the rollout after the step, and false when the step does not fit the rollout any more, for
 // example because an operator has rolled it back in the meantime.
 func (s Step) Apply(r sycamorevane.Rollout, at time.Time) (sycamorevane.Rollout, bool) {
-	if s.ID != r.ID || s.Was != r.Phase {
+	if s.ID != r.ID || s.Was != r.Phase || s.Share > s.Held && s.Held != r.Share {
 		return r, false
 	}
 	if r.Phase != s.Phase || r.Share != s.Share {
@@ -358,7 +361,7 @@
 	t.age()
 	t.warm(now, r, capacity, known)
 	t.compare(r, capacity)
-	s := Step{ID: r.ID, Was: r.Phase, Phase: r.Phase, Share: r.Share, Reason: r.Reason, Late: r.Late}
+	s := Step{ID: r.ID, Was: r.Phase, Phase: r.Phase, Held: r.Share, Share: r.Share, Reason: r.Reason, Late: r.Late}
 	switch r.Phase {
 	case sycamorevane.RolloutReverted:
 		return s
--- a/runner/control.go
+++ b/runner/control.go
@@ -263,9 +263,13 @@
 }
 
 func stepArgs(service string, step promoter.Step) applier.Args {
-	return applier.Args{Service: service, Step: &applier.Step{
+	args := applier.Args{Service: service, Step: &applier.Step{
 		Rollout: step.ID, Was: step.Was, Phase: step.Phase, Share: step.Share, Reason: step.Reason, Late: step.Late,
 	}}
+	if step.Share > step.Held {
+		args.Step.Held = &step.Held // Steps down, reverts among them, may always be taken.
+	}
+	return args
 }
 
 func (c *control) propose(ctx context.Context, cmd applier.Command) error {
