An entry whose control hosts have no leader tries others

Change: hosts without contact to a leader do not count as reached; 0.3 s after all that an entry has are so, it tries six more at once (a longer wait than an election takes), and goes back to its own three when they are in contact again.

TestHomesOfAnEntry, 'several at once'.

--- a/runner/homes.go
+++ b/runner/homes.go
@@ -21,6 +21,10 @@
 	moreAlone = 300 * time.Millisecond
 )
 
+// apartMore is how many further control hosts an entry tries at once when all that it has reached say that they are not in contact
+// with a leader: those of a group that is cut in two may all be on the smaller side.
+const apartMore = 6
+
 // outsideWait is how long an entry that has reached a host outside of its list waits for one of the list, before it follows
 // the other. After a loss of all processes the few seeds are reached first, and cannot send the catalog to all entries.
 const outsideWait = 500 * time.Millisecond
@@ -44,16 +48,26 @@
 func newHomes(self string) *homes { return &homes{self: self, apart: sycamorevane.NewSet[string]()} }
 
 // choose returns the hosts that should be reached: the first in this entry's own order, and one more each time that it has
-// waited for them in vain.
+// waited for them in vain. Hosts that are not in contact with a leader count as not reached, and when all are, apartMore more are
+// tried at once.
 func (h *homes) choose(now time.Time, members []string, alive sycamorevane.Set[string]) []string {
 	ranked := placer.Holders(h.self, members, len(members))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := min(max(len(h.list), homeSessions), len(ranked))
-	enough := prefix(ranked, alive)
-	wait := moreAfter
-	if len(alive) == 0 {
+	touching := sycamorevane.NewSet[string]()
+	for name := range alive {
+		if !h.apart.Has(name) {
+			touching.Add(name)
+		}
+	}
+	enough := prefix(ranked, touching)
+	wait, more := moreAfter, 1
+	switch {
+	case len(alive) == 0:
 		wait = moreAlone
+	case len(touching) == 0 && n <= homeSessions:
+		wait, more = moreAlone, apartMore
 	}
 	switch {
 	case enough <= n:
@@ -61,7 +75,7 @@
 	case h.lacking.IsZero():
 		h.lacking = now
 	case now.Sub(h.lacking) >= wait && n < len(ranked):
-		n, h.lacking = n+1, now
+		n, h.lacking = min(n+more, len(ranked)), now
 	}
 	h.list = ranked[:n]
 	return slices.Clone(h.list)
--- a/runner/homes_test.go
+++ b/runner/homes_test.go
@@ -54,6 +54,27 @@
 		h.choose(at(0), members, alone)
 		require.Len(t, h.choose(at(moreAlone), members, alone), homeSessions+1)
 	})
+	t.Run("several at once when all it has are not in contact with a leader", func(t *testing.T) {
+		h := newHomes("entry")
+		list := h.choose(at(0), members, all)
+		alive := sycamorevane.NewSet(list...)
+		require.Equal(t, list, h.choose(at(time.Second), members, alive))
+		for _, name := range list {
+			h.heard(name, true)
+		}
+		h.choose(at(time.Second+moreAlone/2), members, alive)
+		more := h.choose(at(time.Second+moreAlone), members, alive)
+		require.Len(t, more, homeSessions+apartMore)
+		for _, name := range more[:homeSessions+1] {
+			alive.Add(name)
+		}
+		source, _ := h.follow(at(2*time.Second), alive)
+		require.Equal(t, more[homeSessions], source)
+		for _, name := range list {
+			h.heard(name, false)
+		}
+		require.Equal(t, list, h.choose(at(3*time.Second), members, alive))
+	})
 	t.Run("all of few", func(t *testing.T) {
 		require.Len(t, newHomes("entry").choose(at(0), members[:2], all), 2)
 	})
