--- a/modeler/openworld.go
+++ b/modeler/openworld.go
@@ -46,6 +46,8 @@
 	// owed and earned are the worth by second of the measured time.
 	owed, earned []float64
 	calls        sync.WaitGroup
+	// probes are those of calls and duties, so that it must be waited for after both.
+	probes sync.WaitGroup
 	// work is all slot time in use, overKnee the part of it above the knee, in quanta.
 	work, overKnee float64
 }
@@ -100,6 +102,7 @@
 	w.calls.Wait()
 	stop()
 	duties.Wait()
+	w.probes.Wait()
 	return w.result()
 }
 
@@ -135,7 +138,7 @@
 			Share: func() (int, int) { return i, n }, Log: logr.Discard(),
 		}
 		if !w.Oracle {
-			cfg.Probe = func(p dispatcher.Probe) { w.calls.Go(func() { w.probe(e, p.Server) }) }
+			cfg.Probe = func(p dispatcher.Probe) { w.probes.Go(func() { w.probe(e, p.Server) }) }
 		}
 		e.place = dispatcher.New(cfg)
 		e.place.Update()
@@ -324,7 +327,7 @@
 		select {
 		case now := <-t.C:
 			for _, p := range e.place.Probes(now) {
-				w.calls.Go(func() { w.probe(e, p.Server) })
+				w.probes.Go(func() { w.probe(e, p.Server) })
 			}
 		case <-ctx.Done():
 			return
