--- a/dispatcher/ask.go
+++ b/dispatcher/ask.go
@@ -103,6 +103,7 @@
 	}
 	var list []option
 	usual := p.timesOf(w.ask.Route).usual
+	crowded := p.crowdedAt(v.now)
 	gap := time.Duration(min(homeEntries, v.nearEntries())) * time.Second / askRate
 	for _, s := range p.servers {
 		if s.probing || v.now.Sub(s.loadAt) <= askAge || v.now.Sub(s.probed) < gap || s.pausedAt(v.now) || s.entry.Silent {
@@ -116,7 +117,7 @@
 			continue
 		}
 		cost := s.cost(v.now, usual, c.dc, cold) * (1 + jitter*c.rand.Float64())
-		if !s.free(v.now, usual, v.share.entries, s.roomFor(false, p.crowdedAt(v.now))) {
+		if !s.free(v.now, usual, v.share.entries, s.roomFor(false, crowded)) {
 			cost *= fullCost
 		}
 		list = append(list, option{s, cost})
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -255,9 +255,10 @@
 	if v.state != nil {
 		svc = v.state.Config.Service(ask.Service)
 	}
+	late := !hurried && !ask.Aim.IsZero()
+	crowded := p.crowdedAt(v.now)
 	// A request that can be in time waits for a server on which it would be: on a slow machine it would be late and
 	// keep a slot several times as long.
-	late := !hurried && !ask.Aim.IsZero()
 	timely := hurried && p.timely(v, ask, version, t.base, left)
 	var got choice
 	best := 0.0
@@ -277,7 +278,7 @@
 			continue
 		}
 		cold := isCold(v, s, svc)
-		room := s.roomFor(late, p.crowdedAt(v.now))
+		room := s.roomFor(late, crowded)
 		if cold && !c.allowsCold(v, s, svc) || !s.free(v.now, usual, v.share.entries, room) || timely && s.expectedNext(v.now, t.base, usual) > left {
 			continue
 		}
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -125,9 +125,9 @@
 	return s.room()
 }
 
-// crowding is how much longer a request takes that begins now, as the server is above its knee.
-func (s *server) crowding(now time.Time, usual time.Duration) float64 {
-	if s.slots() > 1 && math.Round(s.occupied(now, usual))+1 > kneeShare*s.slots() {
+// crowding is how much longer a request takes that begins beside so many others, as the server is above its knee then.
+func (s *server) crowding(occupied float64) float64 {
+	if s.slots() > 1 && math.Round(occupied)+1 > kneeShare*s.slots() {
 		return kneeFactor
 	}
 	return 1
@@ -175,7 +175,8 @@
 	cost := 1 + (s.ratio-1)*worth
 	cost *= 1 + failureCost*s.failing*worth
 	cost *= s.paceAt(now)
-	cost *= s.crowding(now, usual) * (1 + busyCost*s.occupied(now, usual)/s.room())
+	occupied := s.occupied(now, usual)
+	cost *= s.crowding(occupied) * (1 + busyCost*occupied/s.room())
 	if s.entry.Server.DC != dc {
 		cost *= distantCost
 	}
@@ -195,7 +196,7 @@
 
 // expectedNext is the same for one that begins now, beside those that the server has.
 func (s *server) expectedNext(now time.Time, base, usual time.Duration) time.Duration {
-	return time.Duration(s.crowding(now, usual) * float64(s.expected(now, base)))
+	return time.Duration(s.crowding(s.occupied(now, usual)) * float64(s.expected(now, base)))
 }
 
 // paceAt is how long work takes relative to the usual time, as far as what the server last said still holds.
--- a/modeler/open_test.go
+++ b/modeler/open_test.go
@@ -29,6 +29,13 @@
 	return r
 }
 
+// goodput is what callers get of the conditions at a load, relative to the capacity.
+func goodput(t *testing.T, load float64, o Open) float64 {
+	t.Helper()
+	o.Load(load)
+	return load * play(t, o).Worth
+}
+
 // Guards against a model that loses requests, or in which a quiet deployment is late.
 func TestOpenCalm(t *testing.T) {
 	o := lookups(12)
@@ -56,7 +63,7 @@
 // Guards against many entries that all send requests to the same servers once their own ones are full: the servers then
 // work through long queues of requests that are late.
 func TestOpenManyEntriesUnderOverload(t *testing.T) {
-	goodput := make(map[float64]float64)
+	got := make(map[float64]float64)
 	for _, load := range []float64{0.7, 1, 1.5, 3} {
 		o := lookups(120)
 		o.DCs, o.Entries = 3, 42
@@ -64,12 +71,11 @@
 			k := &o.Kinds[i]
 			k.Work, k.Aim, k.Deadline = 4*k.Work, 4*k.Aim, 3*k.Deadline
 		}
-		o.Load(load)
-		goodput[load] = load * play(t, o).Worth
+		got[load] = goodput(t, load, o)
 	}
-	require.Greater(t, goodput[1], 0.9*goodput[0.7])
-	require.Greater(t, goodput[1.5], 0.9*max(goodput[0.7], goodput[1]))
-	require.Greater(t, goodput[3], 0.9*max(goodput[0.7], goodput[1], goodput[1.5]))
+	require.Greater(t, got[1], 0.9*got[0.7])
+	require.Greater(t, got[1.5], 0.9*max(got[0.7], got[1]))
+	require.Greater(t, got[3], 0.9*max(got[0.7], got[1], got[1.5]))
 }
 
 // Guards against entries that place requests on machines that have become slow since they were last heard: with hundreds of
@@ -92,16 +98,15 @@
 
 // Guards against a deployment that does less, the more is asked of it.
 func TestOpenGoodputUnderOverload(t *testing.T) {
-	goodput := make(map[float64]float64)
+	got := make(map[float64]float64)
 	peak := 0.0
 	for _, load := range []float64{0.7, 1, 1.5, 3} {
 		o := lookups(12)
-		o.Load(load)
-		goodput[load] = load * play(t, o).Worth
-		peak = max(peak, goodput[load])
+		got[load] = goodput(t, load, o)
+		peak = max(peak, got[load])
 	}
-	require.Greater(t, goodput[1.5], 0.9*max(goodput[0.7], goodput[1]))
-	require.Greater(t, goodput[3], 0.9*peak)
+	require.Greater(t, got[1.5], 0.9*max(got[0.7], got[1]))
+	require.Greater(t, got[3], 0.9*peak)
 }
 
 // Guards against servers of which a part is never used, and against deployments that do less, the more is asked of them, with
@@ -111,17 +116,16 @@
 		for name, noise := range map[string]Noise{"steady": {}, "noisy": lookups(1).Noise} {
 			t.Run(fmt.Sprintf("%d/%s", slots, name), func(t *testing.T) {
 				reporter.PassOverKnown(t)
-				goodput := make(map[float64]float64)
+				got := make(map[float64]float64)
 				best := 0.0
 				for _, load := range []float64{0.7, 1, 1.5, 3} {
 					o := lookups(max(3, 36/slots))
 					o.Slots, o.Queue, o.Noise, o.Kinds = slots, 2*slots, noise, o.Kinds[:1]
-					o.Load(load)
-					goodput[load] = load * play(t, o).Worth
-					best = max(best, goodput[load])
+					got[load] = goodput(t, load, o)
+					best = max(best, got[load])
 				}
-				for load, got := range goodput {
-					require.Greater(t, got, 0.9*min(load, best), "at %.1f times the capacity: %v", load, goodput)
+				for load, worth := range got {
+					require.Greater(t, worth, 0.9*min(load, best), "at %.1f times the capacity: %v", load, got)
 				}
 			})
 		}
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -137,10 +137,13 @@
 	Late   bool
 }
 
+// Raises reports whether the step gives the new version a larger share than it had.
+func (s Step) Raises() bool { return s.Share > s.Held }
+
 // Apply returns the rollout after the step, and false when the step does not fit the rollout any more, for
 // example because an operator has rolled it back in the meantime.
 func (s Step) Apply(r sycamorevane.Rollout, at time.Time) (sycamorevane.Rollout, bool) {
-	if s.ID != r.ID || s.Was != r.Phase || s.Share > s.Held && s.Held != r.Share {
+	if s.ID != r.ID || s.Was != r.Phase || s.Raises() && s.Held != r.Share {
 		return r, false
 	}
 	if r.Phase != s.Phase || r.Share != s.Share {
--- a/runner/control.go
+++ b/runner/control.go
@@ -266,7 +266,7 @@
 	args := applier.Args{Service: service, Step: &applier.Step{
 		Rollout: step.ID, Was: step.Was, Phase: step.Phase, Share: step.Share, Reason: step.Reason, Late: step.Late,
 	}}
-	if step.Share > step.Held {
+	if step.Raises() {
 		args.Step.Held = &step.Held // Steps down, reverts among them, may always be taken.
 	}
 	return args
--- a/runner/homes.go
+++ b/runner/homes.go
@@ -55,12 +55,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := min(max(len(h.list), homeSessions), len(ranked))
-	touching := sycamorevane.NewSet[string]()
-	for name := range alive {
-		if !h.apart.Has(name) {
-			touching.Add(name)
-		}
-	}
+	touching := h.touching(alive)
 	enough := prefix(ranked, touching)
 	wait, more := moreAfter, 1
 	switch {
@@ -81,6 +76,17 @@
 	return slices.Clone(h.list)
 }
 
+// touching lists the hosts that are reached and have not said that they are out of contact with a leader.
+func (h *homes) touching(alive sycamorevane.Set[string]) sycamorevane.Set[string] {
+	touching := sycamorevane.NewSet[string]()
+	for name := range alive {
+		if !h.apart.Has(name) {
+			touching.Add(name)
+		}
+	}
+	return touching
+}
+
 // prefix is how many of the first hosts hold enough that are alive; one more than there are when all do not.
 func prefix(ranked []string, alive sycamorevane.Set[string]) int {
 	reached := 0
@@ -120,23 +126,22 @@
 func (h *homes) follow(now time.Time, alive sycamorevane.Set[string]) (string, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	fits := func(name string) bool { return alive.Has(name) && !h.apart.Has(name) }
-	if fits(h.source) && (slices.Contains(h.list, h.source) || !h.settledLocked(alive)) {
+	touching := h.touching(alive)
+	if touching.Has(h.source) && (slices.Contains(h.list, h.source) || !h.settledLocked(alive)) {
 		return h.source, false
 	}
 	was := h.source
-	if i := slices.IndexFunc(h.list, fits); i >= 0 {
+	if i := slices.IndexFunc(h.list, touching.Has); i >= 0 {
 		h.source, h.outside = h.list[i], time.Time{}
 		return h.source, h.source != was
 	}
-	others := slices.DeleteFunc(alive.Sorted(), func(name string) bool { return !fits(name) })
 	switch {
-	case len(others) == 0:
+	case len(touching) == 0:
 		h.outside = time.Time{}
 	case h.outside.IsZero():
 		h.outside = now
 	case now.Sub(h.outside) >= outsideWait:
-		h.source = others[0]
+		h.source = touching.Sorted()[0]
 	}
 	return h.source, h.source != was
 }
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -139,7 +139,7 @@
 		if announced > known {
 			pause = askAgain
 		}
-		if now.Sub(failed) >= pause && len(s.controls()) > 0 && (s.behind() || s.cfg.Alone && s.unheard(now)) && !s.ask() {
+		if now.Sub(failed) >= pause && (s.behind() || s.cfg.Alone && s.unheard(now)) && len(s.controls()) > 0 && !s.ask() {
 			failed, known = time.Now(), announced
 		}
 	}
