Log and count what is sent to servers that name a request limit

What callers saw: nothing. Entries now read Server-Limit, log each change with the requests and health checks sent under the one before, and count both in two metrics. Nothing is decided by it yet. An answer without the header states the end of a limit only with the server's seal, and only if its request was sent after the limit was last named, since answers can overtake each other.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -74,7 +74,9 @@
 	byID map[string]*server
 	// cutoffs holds, for each server that has announced in a response that it is leaving, the time from which it gets
 	// no requests. A cutoff outlives the server's catalog record, which may be missing for a while.
-	cutoffs   map[string]time.Time
+	cutoffs map[string]time.Time
+	// limits holds the request limits that servers have stated. They outlive catalog records like cutoffs.
+	limits    map[string]*serverLimit
 	lastGrant uint64
 }
 
@@ -125,7 +127,7 @@
 func newCore(dc string, bounds Bounds, r *rand.Rand) *core {
 	return &core{
 		dc: dc, bounds: bounds, rand: r, pools: make(map[string]*pool), byID: make(map[string]*server),
-		cutoffs: make(map[string]time.Time),
+		cutoffs: make(map[string]time.Time), limits: make(map[string]*serverLimit),
 	}
 }
 
@@ -140,7 +142,7 @@
 		if !ok {
 			s = newServer(record)
 		}
-		s.record, s.cutoff = record, c.cutoffs[record.Server.ID]
+		s.record, s.cutoff, s.limit = record, c.cutoffs[record.Server.ID], c.limits[record.Server.ID]
 		byID[record.Server.ID] = s
 		p := c.pool(record.Server.Service)
 		s.reportsLoad = p.reportsLoad
--- a/dispatcher/demand_probe.go
+++ b/dispatcher/demand_probe.go
@@ -65,9 +65,8 @@
 		}
 		servers := d.core.probeCandidates(v, w, p, svc, min(probesPerRequest, available)-w.pendingProbes(v.now))
 		for _, s := range servers {
-			s.probedAt, s.probePending = v.now, true
 			w.probed = append(w.probed, s)
-			probes = append(probes, Probe{Server: withMaxConns(s.record.Server, svc), Path: svc.HealthPath})
+			probes = append(probes, d.startProbe(v.now, s, svc))
 		}
 		available -= len(servers)
 	}
@@ -208,6 +207,5 @@
 	if s.probePending || now.Sub(s.probedAt) < slowProbeInterval {
 		return false, nil
 	}
-	s.probedAt, s.probePending = now, true
-	return false, []Probe{{Server: withMaxConns(s.record.Server, svc), Path: svc.HealthPath}}
+	return false, []Probe{d.startProbe(now, s, svc)}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -94,6 +94,9 @@
 	// an answer in time.
 	probesSent  tally.Counter
 	lateAnswers tally.Counter
+	// limitedRequests and limitedProbes count what is sent to servers that have stated a request limit.
+	limitedRequests tally.Counter
+	limitedProbes   tally.Counter
 }
 
 // waiter is a request that has no server yet.
@@ -132,6 +135,7 @@
 		startedAt: time.Now(), queue: make(map[string][]*waiter), undrainedAt: make(map[string]time.Time),
 		timelyShare: 1, paused: m.Counter("paused"), refused: m.Counter("refused"),
 		probesSent: m.Counter("questions"), lateAnswers: m.Counter("untimely"),
+		limitedRequests: m.Counter("limited_requests"), limitedProbes: m.Counter("limited_probes"),
 	}
 }
 
@@ -373,6 +377,7 @@
 }
 
 func (d *Dispatcher) grant(v *view, got choice) sycamorevane.Grant {
+	d.countRequest(got.server)
 	srv := withMaxConns(got.server.record.Server, v.state.Config.Service(got.server.record.Server.Service))
 	return sycamorevane.Grant{ID: d.core.startRequest(v.now, got.server), Server: srv, Trial: got.trial}
 }
@@ -400,6 +405,12 @@
 // this entry: a false directive excludes no other server, and no later report of the server revokes it.
 func (d *Dispatcher) HandleDirective(server string, directive sycamorevane.ServerDirective) {
 	now := time.Now()
+	if directive.Limit != nil {
+		d.handleLimit(now, server, directive.Limit)
+	}
+	if !directive.Leaving && directive.Pause <= 0 {
+		return
+	}
 	d.mu.Lock()
 	changed := d.core.applyDirective(now, server, directive)
 	d.mu.Unlock()
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -69,8 +69,7 @@
 			if now.Sub(s.reportedAt) < backgroundReportAge || now.Sub(s.probedAt) < minInterval {
 				continue
 			}
-			s.probedAt, s.probePending = now, true
-			probes = append(probes, Probe{Server: withMaxConns(s.record.Server, svc), Path: svc.HealthPath})
+			probes = append(probes, d.startProbe(now, s, svc))
 		}
 		if len(d.queue[service]) > 0 {
 			if probe, ok := d.probeOutsideSubset(v, p, svc); ok {
@@ -94,8 +93,7 @@
 		if !d.outsideSubsetBucket.take(v.now, rate) {
 			break
 		}
-		s.probedAt, s.probePending = v.now, true
-		return Probe{Server: withMaxConns(s.record.Server, svc), Path: svc.HealthPath}, true
+		return d.startProbe(v.now, s, svc), true
 	}
 	return Probe{}, false
 }
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -92,6 +92,8 @@
 	// cutoff is the time from which the server gets no requests because it has announced in a response that it is
 	// leaving; zero when it has not.
 	cutoff time.Time
+	// limit is the request limit that the server has stated; nil when it has not stated any.
+	limit *serverLimit
 	// addressReused is set when another server listens on the address.
 	addressReused bool
 	coldBucket    tokenBucket
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -439,7 +439,7 @@
 			return errRequestIDMismatch
 		}
 	}
-	a.c.f.reportDirective(&a.grant.Server, resp)
+	a.c.f.reportDirective(&a.grant.Server, resp, a.startedAt)
 	switch {
 	case a.c.f.dialect.saysNotRun(resp):
 	case a.c.f.dialect.Proof != "" && len(echoes) == 0:
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -54,6 +54,9 @@
 	// Leaving is the header by which a server announces in any response that it accepts no new requests; empty when servers
 	// do not send it.
 	Leaving string
+	// Limit is the header by which a server states in any response how many requests per second it accepts from all hosts
+	// together; empty when servers do not send it.
+	Limit string
 	// ParseLoad parses the load that a server reports in a response header; nil when servers do not report it.
 	ParseLoad func(http.Header) *sycamorevane.LoadReport
 }
--- a/forwarder/directive.go
+++ b/forwarder/directive.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"sycamorevane.example/sycamorevane"
@@ -12,13 +13,16 @@
 // maxPause limits the pause that a server may request, so that a wrong value does not exclude the server forever.
 const maxPause = 5 * time.Minute
 
-// reportDirective reports what the server requests in the header of a response.
-func (f *Forwarder) reportDirective(s *sycamorevane.Server, resp *http.Response) {
+// reportDirective reports what the server requests in the header of a response to a request that was sent at requestedAt.
+func (f *Forwarder) reportDirective(s *sycamorevane.Server, resp *http.Response, requestedAt time.Time) {
 	if f.cfg.OnDirective == nil {
 		return
 	}
 	directive := f.dialect.directive(s, resp)
-	if directive.Leaving || directive.Pause > 0 {
+	if directive.Limit != nil {
+		directive.Limit.RequestedAt = requestedAt
+	}
+	if directive.Leaving || directive.Pause > 0 || directive.Limit != nil {
 		f.cfg.OnDirective(s.ID, directive)
 	}
 }
@@ -38,9 +42,30 @@
 	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
 		directive.Pause = parsePause(resp.Header)
 	}
+	directive.Limit = d.limitStatement(resp.Header)
 	return directive
 }
 
+// limitStatement reads the request limit of the server. A response without a limit states that there is none only if it
+// has the proof that the server has written the header.
+func (d *Dialect) limitStatement(h http.Header) *sycamorevane.LimitStatement {
+	if d.Limit == "" {
+		return nil
+	}
+	value := strings.TrimSpace(h.Get(d.Limit))
+	if value == "" {
+		if d.Proof == "" || h.Get(d.Proof) == "" {
+			return nil
+		}
+		return &sycamorevane.LimitStatement{}
+	}
+	rate, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return nil
+	}
+	return &sycamorevane.LimitStatement{RequestLimit: sycamorevane.RequestLimit{Limited: true, Rate: rate}}
+}
+
 // parsePause parses Retry-After: seconds with an optional fraction, or a date, which is relative to the Date of the
 // response. Invalid values mean no pause.
 func parsePause(h http.Header) time.Duration {
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -30,12 +30,13 @@
 		return 0, nil, errors.Trace(err)
 	}
 	req.Header["User-Agent"] = []string{""}
+	sentAt := time.Now()
 	resp, err := exchangeProbe(conn, req)
 	if err != nil {
 		conn.pool.discard(conn)
 		return 0, nil, err
 	}
-	f.reportDirective(&s, resp)
+	f.reportDirective(&s, resp, sentAt)
 	if resp.Close || endsWithConnection(resp) {
 		conn.pool.discard(conn)
 	} else {
--- a/types.go
+++ b/types.go
@@ -137,6 +137,23 @@
 	Leaving bool
 	// Pause is how long this host must not send requests to the server; 0 for none.
 	Pause time.Duration
+	// Limit is what the response states about the request limit of the server; nil when it does not state anything.
+	Limit *LimitStatement
+}
+
+// RequestLimit is the rate of requests that a server accepts from all hosts together.
+type RequestLimit struct {
+	// Limited is set while the server has a limit.
+	Limited bool
+	// Rate is the limit in requests per second, 0 or more; 0 when Limited is not set.
+	Rate float64
+}
+
+// LimitStatement is a request limit as stated in a response.
+type LimitStatement struct {
+	RequestLimit
+	// RequestedAt is when the request that the response answers was sent.
+	RequestedAt time.Time
 }
 
 // RecordedResponse is the stored response to a request with an idempotency key.
