Divide the request limit of a server among the entries

What callers saw: nothing. Servers in need got up to four times what they had named and could not recover. Why it holds: the limit L is divided among at most L + 4 entries, chosen by rank and the hash of the server, each with a share of L and a token bucket. In 4 s all together send at most 4 L + L + 4, where 6 L + 5 are allowed; what remains covers entries that change their rank, which begin without a token. An entry without contact to control uses a quarter of its share, since the others may have divided the limit without it (TestRequestLimitWithIsolatedEntries: 1, 9 and 17 of 18 entries cut off). Limited servers get no health checks: these would cost requests. Hedges and retries take tokens like all requests, and requests under way when the limit is named are subtracted. Callers first: a limited server gets what others cannot take, and once in 5 s a request that shows whether the limit is still in force. When all servers are limited, a request waits only if its token comes in time, and is refused at once otherwise. Retry-After is when this entry's share allows it, after those already told to come back. With 9 servers of 2 a second and 2.5 times that load, over 0.9 of the limit is used and under 1 in 100 refusals takes longer than 20 ms (TestRequestsBeyondAllLimits).

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -62,7 +62,12 @@
 
 // entryPosition is the rank of this entry among the entries that take requests, and their number. The system-wide
 // limits are divided among them.
-type entryPosition struct{ rank, entries int }
+type entryPosition struct {
+	rank, entries int
+	// isolated is set when the entry has lost contact with the control hosts. The others may have divided the limits
+	// anew without it.
+	isolated bool
+}
 
 // core chooses servers. It does no I/O: time and randomness are passed in.
 type core struct {
@@ -76,7 +81,9 @@
 	// no requests. A cutoff outlives the server's catalog record, which may be missing for a while.
 	cutoffs map[string]time.Time
 	// limits holds the request limits that servers have stated. They outlive catalog records like cutoffs.
-	limits    map[string]*serverLimit
+	limits map[string]*serverLimit
+	// position is the position by which the limits are divided.
+	position  entryPosition
 	lastGrant uint64
 }
 
@@ -92,6 +99,8 @@
 	// lastCongested is when a request that could still meet its soft deadline had last waited for congestedAfter
 	// without getting a server.
 	lastCongested time.Time
+	// nextReturn is the earliest time at which the next caller that is refused because of limits should return.
+	nextReturn time.Time
 }
 
 func (p *pool) congestedAt(now time.Time) bool { return now.Sub(p.lastCongested) < congestedPeriod }
@@ -187,9 +196,16 @@
 	trial     bool
 	anyUsable bool
 	stale     bool
-	// requestedPauseEnd is when the first of the servers that have asked for a pause takes requests again. It is zero
-	// unless all other servers are unusable.
+	// requestedPauseEnd is when the first of the servers that have asked for a pause takes requests again, limit when
+	// limited servers do. They are zero unless all other servers are unusable.
 	requestedPauseEnd time.Time
+	limit             limitWait
+}
+
+// blocked reports whether all servers that could take the request have asked for a pause or have no room within their
+// limits.
+func (c *choice) blocked(now time.Time) bool {
+	return c.server == nil && (c.requestedPauseEnd.After(now) || c.limit.rate() > 0)
 }
 
 // view holds what a decision depends on besides the servers.
@@ -275,17 +291,20 @@
 	lowestCost := 0.0
 	chosenCold := false
 	skipLeaving := p.anyNotLeaving(v, version, req.ExcludedServers)
-	var pauseEnd time.Time
+	// A limited server is the substitute when no other one can take the request.
+	var substitute *server
+	substituteCost, substituteCold := 0.0, false
 	for _, s := range p.servers {
-		if s.requestedPauseAt(v.now) && eligible(v, s, version, req.ExcludedServers) &&
-			(pauseEnd.IsZero() || s.requestedPauseEnd.Before(pauseEnd)) {
-			pauseEnd = s.requestedPauseEnd
+		if !usable(v, s, version, req.ExcludedServers) {
+			c.addBlocked(v, s, version, req.ExcludedServers, &got)
+			continue
 		}
-		if !usable(v, s, version, req.ExcludedServers) || skipLeaving && s.isLeaving() {
+		if skipLeaving && s.isLeaving() {
 			continue
 		}
 		got.anyUsable = true
-		outsideSubset := !c.inSubset(v, s)
+		limited := s.limited()
+		outsideSubset := !limited && !c.inSubset(v, s)
 		if outsideSubset && s.reportsLoad && v.now.Sub(s.reportedAt) > outsideSubsetReportAge {
 			continue
 		}
@@ -295,7 +314,7 @@
 			mustBeInTime && s.expectedNextLatency(v.now, latency.base, meanLatency) > remaining {
 			continue
 		}
-		if v.requireFresh && s.reportsLoad && (v.now.Sub(s.reportedAt) > freshReportAge || s.slowdown >= slowThreshold) {
+		if v.requireFresh && s.reportsLoad && !limited && (v.now.Sub(s.reportedAt) > freshReportAge || s.slowdown >= slowThreshold) {
 			got.stale = true
 			continue
 		}
@@ -309,19 +328,45 @@
 		if s.pausedAt(v.now) {
 			cost *= pausedCostFactor
 		}
+		if limited && !req.Hedge && s.limitCheckDue(v.now) {
+			cost, limited = 0, false
+		}
+		if limited {
+			if substitute == nil || cost < substituteCost {
+				substitute, substituteCost, substituteCold = s, cost, cold
+			}
+			continue
+		}
 		if got.server == nil || cost < lowestCost {
 			got.server, lowestCost, chosenCold = s, cost, cold
 		}
 	}
+	if got.server == nil && !got.stale {
+		got.server, chosenCold = substitute, substituteCold
+	}
 	if got.server != nil && chosenCold {
 		got.server.coldBucket.take(v.now, c.coldRate(v, svc))
 	}
-	if !got.anyUsable {
-		got.requestedPauseEnd = pauseEnd
+	if got.server != nil && got.server.limited() {
+		got.server.limit.bucket.take(v.now, got.server.limit.share)
+	}
+	if got.anyUsable {
+		got.requestedPauseEnd, got.limit = time.Time{}, limitWait{}
 	}
 	return got
 }
 
+// addBlocked records in the choice when an unusable server becomes usable, if a pause or a limit is the only reason.
+func (c *core) addBlocked(v *view, s *server, version string, excludedServers []string, got *choice) {
+	switch {
+	case !eligible(v, s, version, excludedServers):
+	case !s.requestedPauseAt(v.now):
+		got.limit.add(s.limit, v.position)
+	case got.requestedPauseEnd.IsZero() || s.requestedPauseEnd.Before(got.requestedPauseEnd):
+		got.requestedPauseEnd = s.requestedPauseEnd
+	}
+}
+
 // anyNotLeaving reports whether a usable server has not announced that it is leaving.
 func (p *pool) anyNotLeaving(v *view, version string, excludedServers []string) bool {
 	return slices.ContainsFunc(p.servers, func(s *server) bool {
@@ -345,10 +390,10 @@
 
 // usable reports whether the server may get the request now, apart from its load.
 func usable(v *view, s *server, version string, excludedServers []string) bool {
-	return !s.requestedPauseAt(v.now) && eligible(v, s, version, excludedServers)
+	return !s.requestedPauseAt(v.now) && eligible(v, s, version, excludedServers) && s.withinLimit(v.now)
 }
 
-// eligible reports whether the server may get the request once no requested pause is in the way.
+// eligible reports whether the server may get the request once no requested pause or limit is in the way.
 func eligible(v *view, s *server, version string, excludedServers []string) bool {
 	record := &s.record
 	if record.Leaving() || s.addressReused || s.pastCutoff(v.now) || version != "" && record.Server.Version != version {
--- a/dispatcher/demand_probe.go
+++ b/dispatcher/demand_probe.go
@@ -114,7 +114,7 @@
 			s.pausedAt(v.now) || s.record.LeaseExpired {
 			continue
 		}
-		if !usable(v, s, w.versionChoice.version, w.req.ExcludedServers) || !c.inSubset(v, s) || s.isLeaving() {
+		if !usable(v, s, w.versionChoice.version, w.req.ExcludedServers) || !c.inSubset(v, s) || s.isLeaving() || s.limited() {
 			continue
 		}
 		cold := isCold(v, s, svc)
@@ -192,7 +192,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.core.byID[server]
-	if s == nil || !s.reportsLoad || d.cfg.SendProbe == nil || d.skipFreshWait || s.requestedPauseAt(now) || s.isLeaving() {
+	if s == nil || !s.reportsLoad || d.cfg.SendProbe == nil || d.skipFreshWait || s.requestedPauseAt(now) || s.isLeaving() || s.limited() {
 		return true, nil
 	}
 	age := now.Sub(s.reportedAt)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -64,8 +64,10 @@
 	SendProbe func(Probe)
 	// EntryRank returns this entry's rank among the entries that take requests, and their number.
 	EntryRank func() (rank, entries int)
-	Log       logr.Logger
-	Metrics   tally.Scope
+	// Isolated reports whether this entry has lost contact with the control hosts; nil means that it never does.
+	Isolated func() bool
+	Log      logr.Logger
+	Metrics  tally.Scope
 }
 
 // Dispatcher implements sycamorevane.Limiter.
@@ -103,8 +105,10 @@
 type waiter struct {
 	req *sycamorevane.Request
 	// sequence increases with each waiter.
-	sequence      uint64
-	queuedAt      time.Time
+	sequence uint64
+	queuedAt time.Time
+	// latestStart is until when the request waits for a server.
+	latestStart   time.Time
 	versionChoice *versionChoice
 	// freshUntil is until when the request waits for fresh load reports, which the servers in probed may bring.
 	freshUntil time.Time
@@ -129,6 +133,9 @@
 	if cfg.Blocked == nil {
 		cfg.Blocked = func(string, string) bool { return false }
 	}
+	if cfg.Isolated == nil {
+		cfg.Isolated = func() bool { return false }
+	}
 	m := cfg.Metrics.SubScope("dispatcher")
 	return &Dispatcher{
 		cfg: cfg, core: newCore(cfg.DC, cfg.Bounds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
@@ -147,6 +154,7 @@
 	var probes []Probe
 	d.mu.Lock()
 	d.core.update(records)
+	d.core.forgetLimits(now)
 	if st != nil {
 		d.recordUndrained(st, now)
 	}
@@ -174,10 +182,13 @@
 	}
 }
 
+// view returns what decisions at the time depend on. The caller holds the lock.
 func (d *Dispatcher) view(now time.Time) *view {
 	rank, entries := d.cfg.EntryRank()
+	position := entryPosition{rank: rank, entries: entries, isolated: d.cfg.Isolated()}
+	d.core.setPosition(now, position)
 	return &view{
-		now: now, state: d.cfg.State(), position: entryPosition{rank, entries}, blocked: d.cfg.Blocked, undrainedAt: d.undrainedAt,
+		now: now, state: d.cfg.State(), position: position, blocked: d.cfg.Blocked, undrainedAt: d.undrainedAt,
 	}
 }
 
@@ -204,15 +215,21 @@
 		return g, nil
 	}
 	meanLatency := d.core.pool(req.Service).latencyOf(req.Route).mean
+	w.latestStart = latestStart(now, &req, meanLatency)
 	queued := len(d.queue[req.Service])
 	if !got.stale {
 		d.logNoCapacity(v, &req)
 	}
 	reason := ""
+	blocked := got.blocked(now)
+	if blocked {
+		if err := d.refuseUnlessSoon(now, w, got, 0); err != nil {
+			d.mu.Unlock()
+			return sycamorevane.Grant{}, err
+		}
+	}
 	switch {
-	case got.requestedPauseEnd.After(now):
-		d.mu.Unlock()
-		return sycamorevane.Grant{}, d.refuseUntilPauseEnds(now, &req, got.requestedPauseEnd)
+	case blocked && queued < maxQueued: // It starts in time.
 	case !got.anyUsable && now.Sub(d.startedAt) > startupPeriod:
 		reason = "no server can take the request"
 	case queued >= maxQueued:
@@ -257,16 +274,6 @@
 
 // wait returns when the request has got a server, or when it is too late for a response before the deadline.
 func (d *Dispatcher) wait(ctx context.Context, w *waiter, meanLatency time.Duration) (sycamorevane.Grant, error) {
-	latest := w.req.Deadline
-	if !w.req.Hedge {
-		latest = latest.Add(-meanLatency / 2)
-	}
-	if now := time.Now(); !w.req.SoftDeadline.IsZero() && !w.req.Hedge {
-		maxWait := time.Duration(maxWaitShare * float64(w.req.Deadline.Sub(now)))
-		if until := now.Add(maxWait); until.Before(latest) {
-			latest = until
-		}
-	}
 	t := time.NewTicker(queueRetryInterval)
 	defer t.Stop()
 	for {
@@ -276,7 +283,7 @@
 		case <-ctx.Done():
 			return d.leaveQueue(w, ctx.Err())
 		case now := <-t.C:
-			if now.After(latest) {
+			if now.After(w.latestStart) {
 				return d.leaveQueue(w, d.refuse(w.req, "no server became free in time", d.retryAfter(w.req, meanLatency)))
 			}
 			var probes []Probe
@@ -290,6 +297,22 @@
 	}
 }
 
+// latestStart is until when a request that arrives now may wait for a server.
+func latestStart(now time.Time, req *sycamorevane.Request, meanLatency time.Duration) time.Time {
+	if req.Hedge {
+		return req.Deadline
+	}
+	latest := req.Deadline.Add(-meanLatency / 2)
+	if req.SoftDeadline.IsZero() {
+		return latest
+	}
+	maxWait := time.Duration(maxWaitShare * float64(req.Deadline.Sub(now)))
+	if until := now.Add(maxWait); until.Before(latest) {
+		return until
+	}
+	return latest
+}
+
 // leaveQueue ends the wait with err. A grant that was given in the meantime is released.
 func (d *Dispatcher) leaveQueue(w *waiter, err error) (sycamorevane.Grant, error) {
 	d.mu.Lock()
@@ -316,14 +339,15 @@
 	if v.state == nil {
 		return nil
 	}
-	d.serveWaiters(v, service, true)
-	d.serveWaiters(v, service, false)
+	waiting := d.serveWaiters(v, service, true, 0)
+	d.serveWaiters(v, service, false, waiting)
 	return d.demandProbes(v, service)
 }
 
 // serveWaiters places the waiting requests that can still meet their soft deadline, or the others. A late response is
-// worth little, so a late request must not take the slot of one that can be in time.
-func (d *Dispatcher) serveWaiters(v *view, service string, inTime bool) {
+// worth little, so a late request must not take the slot of one that can be in time. The given number of requests waits
+// for limited servers before these; the new number is returned.
+func (d *Dispatcher) serveWaiters(v *view, service string, inTime bool, waiting int) int {
 	p := d.core.pool(service)
 	var candidates []*waiter
 	for _, w := range d.queue[service] {
@@ -331,7 +355,7 @@
 			candidates = append(candidates, w)
 		}
 	}
-	if inTime {
+	if inTime && !p.allLimited(v) {
 		newestFirst(v.now, candidates)
 	}
 	served := sycamorevane.NewSet[uint64]()
@@ -340,9 +364,13 @@
 		if got.server == nil && got.stale {
 			continue // Its servers are being probed; a request after it may no longer need a fresh report.
 		}
-		if got.server == nil && got.requestedPauseEnd.After(v.now) {
-			served.Add(w.sequence)
-			w.result <- placement{err: d.refuseUntilPauseEnds(v.now, w.req, got.requestedPauseEnd)}
+		if got.blocked(v.now) {
+			if err := d.refuseUnlessSoon(v.now, w, got, waiting); err != nil {
+				served.Add(w.sequence)
+				w.result <- placement{err: err}
+				continue
+			}
+			waiting++
 			continue
 		}
 		if got.server == nil {
@@ -357,6 +385,7 @@
 	if len(served) > 0 {
 		d.queue[service] = slices.DeleteFunc(d.queue[service], func(w *waiter) bool { return served.Has(w.sequence) })
 	}
+	return waiting
 }
 
 // newestFirst reverses the order within each priority while requests have been waiting for long. In the order of
@@ -459,10 +488,13 @@
 	p := d.core.pool(req.Service)
 	svc := v.state.Config.Service(req.Service)
 	latency := p.latencyOf(req.Route)
-	var known, usableNow, cold, paused, slow, own int
+	var known, usableNow, limited, cold, paused, slow, own int
 	limit, running := 0.0, 0.0
 	for _, s := range p.servers {
 		known++
+		if s.limited() {
+			limited++
+		}
 		if !usable(v, s, "", nil) {
 			continue
 		}
@@ -481,7 +513,7 @@
 		}
 	}
 	d.cfg.Log.Info("no room for requests", "service", req.Service, "route", req.Route, "servers", known, "usable", usableNow,
-		"cold", cold, "paused", paused, "slow", slow, "room", limit, "occupied", int(running), "own", own,
+		"limited", limited, "cold", cold, "paused", paused, "slow", slow, "room", limit, "occupied", int(running), "own", own,
 		"queued", len(d.queue[req.Service]), "usualms", latency.mean.Milliseconds(), "basems", latency.base.Milliseconds())
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -32,7 +32,7 @@
 }
 
 func newView(now time.Time) *view {
-	return &view{now: now, state: newState(), blocked: func(string, string) bool { return false }, position: entryPosition{0, 1}}
+	return &view{now: now, state: newState(), blocked: func(string, string) bool { return false }, position: entryPosition{rank: 0, entries: 1}}
 }
 
 func newTestCore(records ...cataloger.ServerRecord) *core {
@@ -180,7 +180,7 @@
 	for rank := range entries {
 		c := newTestCore(records...)
 		v := newView(start)
-		v.position = entryPosition{rank, entries}
+		v.position = entryPosition{rank: rank, entries: entries}
 		for got := c.pick(v, newRequest()); got.server != nil; got = c.pick(v, newRequest()) {
 			c.startRequest(start, got.server)
 			sent++
@@ -205,7 +205,7 @@
 		c := newTestCore(records...)
 		v := newView(start)
 		v.state.Config.DCs = []string{"a", "b", "c"}
-		v.position = entryPosition{rank, perDC * dcs}
+		v.position = entryPosition{rank: rank, entries: perDC * dcs}
 		subset := sycamorevane.NewSet[string]()
 		for id, s := range c.byID {
 			if c.inSubset(v, s) {
@@ -232,7 +232,7 @@
 		c := newTestCore(records...)
 		v := newView(start)
 		v.state.Config.DCs = []string{"a", "b", "c"}
-		v.position = entryPosition{4, entriesPerServer * dcs}
+		v.position = entryPosition{rank: 4, entries: entriesPerServer * dcs}
 		for _, s := range c.byID {
 			require.True(t, c.inSubset(v, s))
 		}
@@ -339,7 +339,7 @@
 		now := start.Add(time.Duration(ms) * time.Millisecond)
 		for i, c := range cores {
 			v := newView(now)
-			v.position = entryPosition{i, entries}
+			v.position = entryPosition{rank: i, entries: entries}
 			if got := c.pick(v, newRequest()); got.server != nil {
 				c.finishRequest(now, "s", "x", c.startRequest(now, got.server), sycamorevane.Outcome{Kind: sycamorevane.OutcomeOK})
 				sent = append(sent, now)
--- a/dispatcher/limit.go
+++ b/dispatcher/limit.go
@@ -1,19 +1,79 @@
 package dispatcher
 
 import (
+	"maps"
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sycamorevane.example/sycamorevane"
 )
 
-// serverLimit is what is known of the request limit of a server.
+const (
+	// minLimitRate is the rate of requests to a server that accepts fewer, since only its responses tell that its limit
+	// has ended.
+	minLimitRate = 0.1
+	// limitBurst is how many requests, in addition to those of one second, all entries together may send to a limited
+	// server at once.
+	limitBurst = 4
+	// limitCheckInterval is the time since the last statement of a limited server after which it is preferred for a
+	// request, so that the end of its limit is noticed.
+	limitCheckInterval = 5 * time.Second
+	// isolatedShare is the part of its share of a limit that an isolated entry uses.
+	isolatedShare = 0.25
+)
+
+// serverLimit is what is known of the request limit of a server, and this entry's share of it. The rate is divided
+// among a few entries: each may send one request at any moment, and limiting their number bounds the sum.
 type serverLimit struct {
 	sycamorevane.RequestLimit
+	hash uint64
 	// statedAt is when the last response that stated the limit, or that there is none, was received.
 	statedAt time.Time
 	// changedAt is when RequestLimit last changed. requests and probes count what this entry has sent since.
 	changedAt        time.Time
 	requests, probes int
+	// share is the rate of requests that this entry may send; 0 when it may not send any.
+	share  float64
+	bucket tokenBucket
+}
+
+// divideLimit returns the rate of requests that the entry in the given position may send to a limited server, and how
+// many of them at once.
+func divideLimit(rate float64, hash uint64, position entryPosition) (share, burst float64) {
+	rate = max(rate, minLimitRate)
+	total := math.Floor(rate + limitBurst)
+	senders := int(min(float64(position.entries), total))
+	if position.rank >= position.entries || offset(hash, position.rank, position.entries) >= senders {
+		return 0, 0
+	}
+	share = rate / float64(senders)
+	if position.isolated {
+		return isolatedShare * share, 1
+	}
+	return share, max(1, math.Floor(total/float64(senders)))
+}
+
+// updateShare applies a changed limit or position. An entry that had no share begins without a token, since others may
+// just have used theirs.
+func (l *serverLimit) updateShare(now time.Time, position entryPosition) {
+	l.bucket.refill(now, l.share)
+	had := l.share > 0
+	l.share, l.bucket.size = 0, 0
+	if l.Limited {
+		l.share, l.bucket.size = divideLimit(l.Rate, l.hash, position)
+	}
+	if !had || l.share == 0 {
+		l.bucket.tokens = min(l.bucket.tokens, 0)
+	}
+	l.bucket.tokens = min(l.bucket.tokens, max(1, l.bucket.size))
+}
+
+// nextRequestAt is when this entry may send the next request. The entry must have a share.
+func (l *serverLimit) nextRequestAt(now time.Time) time.Time {
+	l.bucket.refill(now, l.share)
+	return now.Add(time.Duration(max(0, 1-l.bucket.tokens) / l.share * float64(time.Second)))
 }
 
 // applyLimit applies what a response states about the request limit of a server. It reports whether the limit changed,
@@ -24,36 +84,178 @@
 		return serverLimit{}, false
 	}
 	if !known {
-		l = &serverLimit{changedAt: now}
-		c.limits[id] = l
-	}
-	if s := c.byID[id]; s != nil {
-		s.limit = l
+		l = c.addLimit(now, id)
 	}
 	if !statement.Limited && statement.RequestedAt.Before(l.statedAt) {
 		return *l, false // The server may have named its limit after it had written this response.
 	}
 	previous = *l
-	l.RequestLimit, l.statedAt = statement.RequestLimit, now
-	if l.RequestLimit == previous.RequestLimit {
-		return previous, false
+	return previous, c.setLimit(now, id, l, statement.RequestLimit, now)
+}
+
+func (c *core) addLimit(now time.Time, id string) *serverLimit {
+	l := &serverLimit{hash: xxhash.Sum64String(id), changedAt: now}
+	c.limits[id] = l
+	return l
+}
+
+// setLimit sets a limit that was stated at the given time, and reports whether that changes it.
+func (c *core) setLimit(now time.Time, id string, l *serverLimit, limit sycamorevane.RequestLimit, statedAt time.Time) bool {
+	previous := l.RequestLimit
+	l.RequestLimit, l.statedAt = limit, statedAt
+	s := c.byID[id]
+	if s != nil {
+		s.limit = l
 	}
+	if l.RequestLimit == previous {
+		return false
+	}
+	if !previous.Limited && s != nil {
+		// Requests that are under way may still arrive. One of them has just been answered.
+		l.bucket.tokens = -float64(max(0, len(s.startTimes)-1))
+	}
+	l.updateShare(now, c.position)
 	l.changedAt, l.requests, l.probes = now, 0, 0
-	return previous, true
+	return true
+}
+
+// forgetLimits drops the limits of servers that have been missing from the catalog for long.
+func (c *core) forgetLimits(now time.Time) {
+	maps.DeleteFunc(c.limits, func(id string, l *serverLimit) bool {
+		return c.byID[id] == nil && now.Sub(l.statedAt) > leavingRetention
+	})
+}
+
+// setPosition divides all limits anew when the position of this entry has changed.
+func (c *core) setPosition(now time.Time, position entryPosition) {
+	if c.position == position {
+		return
+	}
+	c.position = position
+	for _, l := range c.limits {
+		l.updateShare(now, position)
+	}
 }
 
 func (s *server) limited() bool { return s.limit != nil && s.limit.Limited }
 
+// withinLimit reports whether this entry may send the server a request now.
+func (s *server) withinLimit(now time.Time) bool {
+	return !s.limited() || s.limit.share > 0 && s.limit.bucket.hasToken(now, s.limit.share)
+}
+
+// limitCheckDue reports whether the limit of the server has not been confirmed for limitCheckInterval.
+func (s *server) limitCheckDue(now time.Time) bool {
+	return s.limited() && now.Sub(s.limit.statedAt) >= limitCheckInterval && !s.pausedAt(now) && !s.record.LeaseExpired
+}
+
+// limitWait describes when the limited servers that could take a request accept the next ones of this entry.
+type limitWait struct {
+	// limits holds the limits of which this entry has a share, share their sum.
+	limits []*serverLimit
+	share  float64
+	// equalShare is the rate that each entry would get of all limits if they were divided equally.
+	equalShare float64
+}
+
+func (w *limitWait) add(l *serverLimit, position entryPosition) {
+	w.equalShare += max(l.Rate, minLimitRate) / float64(max(1, position.entries))
+	if l.share > 0 {
+		w.limits = append(w.limits, l)
+		w.share += l.share
+	}
+}
+
+// rate is the rate at which callers should return. Callers of an entry without a share return to any entry.
+func (w *limitWait) rate() float64 {
+	if w.share > 0 {
+		return w.share
+	}
+	return w.equalShare
+}
+
+// startsBy returns how many requests may start until the given time.
+func (w *limitWait) startsBy(now, until time.Time) int {
+	n := 0
+	for _, l := range w.limits {
+		if next := l.nextRequestAt(now); !next.After(until) {
+			n += 1 + int(until.Sub(next).Seconds()*l.share)
+		}
+	}
+	return n
+}
+
+// startAt estimates when a request starts that has the given number of others before it.
+func (w *limitWait) startAt(now time.Time, before int) time.Time {
+	interval := float64(time.Second) / w.rate()
+	first := now.Add(time.Duration(interval))
+	for _, l := range w.limits {
+		if next := l.nextRequestAt(now); next.Before(first) {
+			first = next
+		}
+	}
+	return first.Add(time.Duration(float64(before) * interval))
+}
+
+// allLimited reports whether all servers that may get requests of the service are limited.
+func (p *pool) allLimited(v *view) bool {
+	found := false
+	for _, s := range p.servers {
+		if !eligible(v, s, "", nil) || s.requestedPauseAt(v.now) {
+			continue
+		}
+		if !s.limited() {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+// refuseUnlessSoon refuses a request whose servers have all asked for a pause or have no room within their limits, unless
+// limits allow it to start in time after those that wait before it. It returns nil if the request should wait.
+func (d *Dispatcher) refuseUnlessSoon(now time.Time, w *waiter, got choice, before int) error {
+	if got.limit.rate() <= 0 {
+		return d.refuseUntilPauseEnds(now, w.req, got.requestedPauseEnd)
+	}
+	if got.limit.startsBy(now, w.latestStart.Add(-queueRetryInterval)) > before {
+		return nil
+	}
+	at := got.limit.startAt(now, before)
+	if !got.requestedPauseEnd.IsZero() && got.requestedPauseEnd.Before(at) {
+		return d.refuseUntilPauseEnds(now, w.req, got.requestedPauseEnd)
+	}
+	at = d.core.pool(w.req.Service).reserveReturn(at, w.req, got.limit.rate())
+	return d.refuse(w.req, "all servers limit their requests", at.Sub(now))
+}
+
+// reserveReturn returns when a refused caller should return, not before at, and at intervals that the rate allows.
+// Callers whose deadline is earlier are not expected to return.
+func (p *pool) reserveReturn(at time.Time, req *sycamorevane.Request, rate float64) time.Time {
+	if p.nextReturn.After(at) {
+		at = p.nextReturn
+	}
+	if !req.Hedge && at.Before(req.Deadline) {
+		p.nextReturn = at.Add(time.Duration(float64(time.Second) / rate))
+	}
+	return at
+}
+
 // handleLimit applies a limit statement and logs a change together with what this entry has sent under the previous one.
 func (d *Dispatcher) handleLimit(now time.Time, id string, statement *sycamorevane.LimitStatement) {
 	d.mu.Lock()
-	previous, changed := d.core.applyLimit(now, id, statement)
-	d.mu.Unlock()
-	if !changed {
-		return
+	defer d.mu.Unlock()
+	if previous, changed := d.core.applyLimit(now, id, statement); changed {
+		d.logLimit(now, id, &previous)
 	}
-	d.cfg.Log.Info("server changes its request limit", "server", id, "limited", statement.Limited, "rate", statement.Rate,
-		"previous", previous.Rate, "ms", now.Sub(previous.changedAt).Milliseconds(), "requests", previous.requests, "probes", previous.probes)
+}
+
+// logLimit logs a changed limit together with what this entry has sent under the previous one.
+func (d *Dispatcher) logLimit(now time.Time, id string, previous *serverLimit) {
+	l := d.core.limits[id]
+	d.cfg.Log.Info("server changes its request limit", "server", id, "limited", l.Limited, "rate", l.Rate, "share", l.share,
+		"previous", previous.Rate,
+		"ms", now.Sub(previous.changedAt).Milliseconds(), "requests", previous.requests, "probes", previous.probes)
 }
 
 // countRequest counts a request that is sent to the server.
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -61,7 +61,9 @@
 	servers []*limitServer
 	entries []*limitEntry
 	// active is the number of entries that callers are sent to. requestTime is how long a server takes for a request.
-	active      int
+	active int
+	// cutOff is the number of active entries that are cut off from the control hosts.
+	cutOff      int
 	requestTime time.Duration
 	// hedgeShare is the share of requests that are hedged, shedShare the share that servers shed.
 	hedgeShare, shedShare float64
@@ -74,13 +76,20 @@
 	index      int
 	dispatcher *Dispatcher
 	stop       context.CancelFunc
+	// cutOff is set while the entry has no contact with control hosts.
+	cutOff bool
+	// rank and entries are what the entry was last told.
+	rank, entries int
 }
 
+// promptRefusal is the time within which a request that cannot be served should be refused.
+const promptRefusal = 20 * time.Millisecond
+
 // limitResult counts what callers got.
 type limitResult struct {
 	requests, served, refused int
-	// longestRefusal is the longest time to a refusal.
-	longestRefusal time.Duration
+	// lateRefusals counts the refusals that came later than promptRefusal.
+	lateRefusals int
 }
 
 func newLimitFleet(t *testing.T, entries, active, servers int) *limitFleet {
@@ -94,8 +103,9 @@
 		record.ReportedAt = time.Now()
 		f.servers = append(f.servers, &limitServer{record: record, told: make(map[int]time.Time)})
 	}
-	for i := range entries {
-		f.entries = append(f.entries, f.startEntry(i))
+	f.entries = make([]*limitEntry, entries)
+	for i := range f.entries {
+		f.entries[i] = f.startEntry(i)
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -112,7 +122,8 @@
 	e.stop = stop
 	e.dispatcher = New(Config{
 		DC: string(rune('a' + i%3)), Bounds: Bounds{ColdFactor: 1.5, ColdSlack: 5}, Servers: f.catalog,
-		State: func() *sycamorevane.State { return st }, EntryRank: func() (int, int) { return f.rank(i) },
+		State: func() *sycamorevane.State { return st }, EntryRank: func() (int, int) { return f.rank(e) },
+		Isolated:  func() bool { return f.isCutOff(e) },
 		SendProbe: func(p Probe) { f.wg.Go(func() { f.probe(e, p) }) }, Log: logr.Discard(),
 	})
 	e.dispatcher.Update()
@@ -130,10 +141,39 @@
 	return list
 }
 
-func (f *limitFleet) rank(i int) (int, int) {
+// rank returns the entry's rank among the active entries. An entry that is cut off keeps its former one.
+func (f *limitFleet) rank(e *limitEntry) (int, int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e.cutOff {
+		return e.rank, e.entries
+	}
+	e.rank, e.entries = 0, f.active-f.cutOff
+	for i := range min(e.index, f.active) {
+		if f.entries[i] == nil || !f.entries[i].cutOff {
+			e.rank++
+		}
+	}
+	if e.index >= f.active {
+		e.rank = e.entries
+	}
+	return e.rank, e.entries
+}
+
+func (f *limitFleet) isCutOff(e *limitEntry) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return e.cutOff
+}
+
+// cutOffEntries cuts the first n entries off from the control hosts.
+func (f *limitFleet) cutOffEntries(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return min(i, f.active), f.active
+	f.cutOff = n
+	for i, e := range f.entries {
+		e.cutOff = i < n
+	}
 }
 
 func (f *limitFleet) setActive(n int) {
@@ -277,7 +317,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.result.refused++
-	f.result.longestRefusal = max(f.result.longestRefusal, after)
+	if after > promptRefusal {
+		f.result.lateRefusals++
+	}
 }
 
 // strayShare is the share of callers that go to any entry, not only to those that callers are sent to.
@@ -449,3 +491,118 @@
 		require.Greater(t, float64(r.served), 0.99*float64(r.requests), "the other servers have room")
 	})
 }
+
+// playReturning sends requests like play. A refused caller returns once, at the time that it was told, to any entry.
+func (f *limitFleet) playReturning(rate float64, d time.Duration) (returned, servedThen int) {
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		f.mu.Lock()
+		gap := f.rand.ExpFloat64() / rate
+		first, second := f.entries[f.rand.IntN(f.active)], f.entries[f.rand.IntN(f.active)]
+		f.result.requests++
+		f.mu.Unlock()
+		time.Sleep(time.Duration(gap * float64(time.Second)))
+		f.wg.Go(func() {
+			served, refused := f.call(first)
+			if served || refused == nil || f.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(refused.RetryAfter)
+			if !time.Now().Before(end) {
+				return
+			}
+			served, _ = f.call(second)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			returned++
+			if served {
+				servedThen++
+			}
+		})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return returned, servedThen
+}
+
+// Guards against limits that are exceeded when control hosts divide them anew without entries that they have lost.
+func TestRequestLimitWithIsolatedEntries(t *testing.T) {
+	for _, lost := range []int{1, 9, 17} {
+		for _, rate := range []float64{0.5, 1, 5} {
+			t.Run(fmt.Sprintf("%d_of_18/rate_%v", lost, rate), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newLimitFleet(t, 18, 18, 9)
+					for i := range f.servers {
+						f.setLimit(i, rate)
+					}
+					f.play(90, 5*time.Second)
+					f.cutOffEntries(lost)
+					f.play(90, 10*time.Second)
+					f.cutOffEntries(0)
+					f.play(90, 10*time.Second)
+					f.expectLimitsKept()
+				})
+			})
+		}
+	}
+}
+
+// Guards against limited servers that are left idle while callers are refused, and against callers that wait for a refusal.
+func TestRequestsBeyondAllLimits(t *testing.T) {
+	for _, entries := range []int{3, 18} {
+		t.Run(fmt.Sprintf("%d_entries", entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLimitFleet(t, entries, entries, 9)
+				f.shedShare, f.hedgeShare = 0, 0
+				const rate, seconds = 2.0, 20
+				for i := range f.servers {
+					f.setLimit(i, rate)
+				}
+				accepted := rate * float64(len(f.servers))
+				f.play(2*accepted, 10*time.Second)
+				f.takeResult()
+				f.playReturning(2.5*accepted, seconds*time.Second)
+				f.expectLimitsKept()
+				r := f.takeResult()
+				require.Greater(t, float64(r.served), 0.9*accepted*seconds)
+				require.Less(t, float64(r.lateRefusals), 0.01*float64(r.refused))
+			})
+		})
+	}
+}
+
+// Guards against a Retry-After at which the request is refused again.
+func TestRetryAfterOfLimitedServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitFleet(t, 1, 1, 1)
+		f.hedgeShare, f.shedShare = 0, 0
+		f.setLimit(0, 1)
+		f.call(f.entries[0])
+		time.Sleep(1500 * time.Millisecond)
+		for range 2 {
+			served, _ := f.call(f.entries[0])
+			require.True(t, served)
+		}
+		var delays []time.Duration
+		for range 4 {
+			began := time.Now()
+			served, refused := f.call(f.entries[0])
+			require.False(t, served)
+			require.Zero(t, time.Since(began), "it is known at once")
+			delays = append(delays, refused.RetryAfter)
+		}
+		began := time.Now()
+		for i, delay := range delays {
+			if i > 0 && delays[i-1] < 2500*time.Millisecond {
+				require.GreaterOrEqual(t, delay, delays[i-1]+time.Second, "one request a second is accepted")
+			}
+			if delay > 2500*time.Millisecond {
+				continue // The caller has given up by then.
+			}
+			time.Sleep(delay - time.Since(began))
+			served, _ := f.call(f.entries[0])
+			require.True(t, served, "after %v", delay)
+		}
+		require.Less(t, delays[0], 1100*time.Millisecond)
+	})
+}
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -104,7 +104,9 @@
 }
 
 // offset returns how far the rank follows the index that the server's hash selects out of n, modulo n.
-func (s *server) offset(rank, n int) int { return (rank + n - int(s.hash%uint64(n))) % n }
+func (s *server) offset(rank, n int) int { return offset(s.hash, rank, n) }
+
+func offset(hash uint64, rank, n int) int { return (rank + n - int(hash%uint64(n))) % n }
 
 func newServer(record cataloger.ServerRecord) *server {
 	return &server{
@@ -164,13 +166,16 @@
 // hasCapacity reports whether one more request stays within the limit, given the number of entries that send
 // requests.
 func (s *server) hasCapacity(now time.Time, meanLatency time.Duration, entries int, limit float64) bool {
-	if s.reportedAt.IsZero() && s.reportsLoad {
+	if s.reportedAt.IsZero() && s.reportsLoad && !s.limited() {
 		return len(s.startTimes) == 0 // Other entries may discover the server at the same moment.
 	}
-	if s.lastOutcome.IsZero() && s.reportedAt.IsZero() && entries > 1 {
+	if s.lastOutcome.IsZero() && s.reportedAt.IsZero() && entries > 1 && !s.limited() {
 		// After a start all entries find all servers idle.
 		return float64(len(s.startTimes)) < max(1, math.Floor(limit/float64(entries)))
 	}
+	if s.limited() {
+		return s.estimatedRunning(now, meanLatency)+0.5 < limit // Its limit leaves room for what other entries send.
+	}
 	return s.estimatedRunning(now, meanLatency)+s.reservedForOthers(now, meanLatency, entries, limit)+0.5 < limit
 }
 
@@ -312,20 +317,27 @@
 	return true
 }
 
-// tokenBucket limits a rate, such as that of requests to a cold server. It holds at most one token.
+// tokenBucket limits a rate, such as that of requests to a cold server.
 type tokenBucket struct {
-	tokens     float64
+	tokens float64
+	// size is how many tokens the bucket holds, at least one.
+	size       float64
 	refilledAt time.Time
 }
 
-// take removes a token if there is one. The bucket starts empty, so that a restarted entry does not exceed the rate
-// together with its previous start.
-func (b *tokenBucket) take(now time.Time, rate float64) bool {
+// refill adds the tokens since the last refill. The bucket starts empty, so that a restarted entry does not exceed the
+// rate together with its previous start.
+func (b *tokenBucket) refill(now time.Time, rate float64) {
 	if b.refilledAt.IsZero() {
 		b.refilledAt = now
 	}
-	b.tokens = min(1, b.tokens+now.Sub(b.refilledAt).Seconds()*rate)
+	b.tokens = min(max(1, b.size), b.tokens+now.Sub(b.refilledAt).Seconds()*rate)
 	b.refilledAt = now
+}
+
+// take removes a token if there is one.
+func (b *tokenBucket) take(now time.Time, rate float64) bool {
+	b.refill(now, rate)
 	if b.tokens < 1 {
 		return false
 	}
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -46,6 +46,9 @@
 	// lists all entries.
 	referenceCPU      = 0.32
 	referenceLinkMbps = 60
+	// rankTimeout is the age of this entry's rank from which the rank may be outdated. Control hosts send it every second,
+	// and consider an entry that they do not hear of as lost after 2.5 s.
+	rankTimeout = 2 * time.Second
 	// presenceCheckInterval is how often an entry checks for control hosts that it has not reported its presence to.
 	presenceCheckInterval = 100 * time.Millisecond
 	// discoveryMaxCallerConns limits the connections from callers. Connections to servers need the other file descriptors,
@@ -72,11 +75,14 @@
 	sampler           *recorder.Sampler
 	rank              atomic.Int64
 	entryCount        atomic.Int64
-	shuttingDown      atomic.Bool
+	// rankedAt is when a control host last sent the rank, in ns since the start of this process.
+	rankedAt     atomic.Int64
+	startedAt    time.Time
+	shuttingDown atomic.Bool
 }
 
 func newDiscoveryEntry(p *DiscoveryProcess) (*discoveryEntry, error) {
-	e := &discoveryEntry{p: p, evidenceCollector: promoter.NewCollector(processClock), sampler: recorder.NewSampler(p.cfg.Log)}
+	e := &discoveryEntry{p: p, evidenceCollector: promoter.NewCollector(processClock), sampler: recorder.NewSampler(p.cfg.Log), startedAt: time.Now()}
 	e.subscriber = subscriber.New(subscriber.Config{
 		Transport: p.mesh, ListControlHosts: p.selector.relays, ServeWhenIsolated: true,
 		OnChange: e.stateChanged, OnPush: e.handlePush, Log: p.cfg.Log,
@@ -87,7 +93,7 @@
 	b := p.cfg.Settings.Bounds
 	e.dispatcher = dispatcher.New(dispatcher.Config{
 		DC: p.cfg.Settings.DC, Bounds: dispatcher.Bounds{ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, DrainTime: b.DrainTime},
-		Servers: e.catalog.All, State: e.subscriber.State, Blocked: e.evidenceCollector.Blocked, EntryRank: e.entryRank,
+		Servers: e.catalog.All, State: e.subscriber.State, Blocked: e.evidenceCollector.Blocked, EntryRank: e.entryRank, Isolated: e.isolated,
 		SendProbe: func(probe dispatcher.Probe) { go e.probe(probe) },
 		Log:       p.cfg.Log, Metrics: p.metrics,
 	})
@@ -123,6 +129,11 @@
 	return int(e.rank.Load()), int(e.entryCount.Load())
 }
 
+// isolated reports whether no control host in contact with the leader has sent the rank for rankTimeout.
+func (e *discoveryEntry) isolated() bool {
+	return time.Since(e.startedAt)-time.Duration(e.rankedAt.Load()) > rankTimeout
+}
+
 func (e *discoveryEntry) stateChanged(st *sycamorevane.State) {
 	e.evidenceCollector.Update(st.Rollouts)
 	e.dispatcher.Update()
@@ -142,6 +153,7 @@
 	}
 	e.rank.Store(int64(m.Rank))
 	e.entryCount.Store(int64(m.Entries))
+	e.rankedAt.Store(int64(time.Since(e.startedAt)))
 	e.catalog.HandleRevision(from, m.Epoch, m.Revision)
 }
 
