Tell all entries about the request limits of servers and their ends

What callers saw: after a limit had ended, most entries went on without the server, so that its room was lost to callers. Entries that had not been told yet, such as new ones, pressed a server in need. Cause: a limit, and its end, was known only to entries that the server had answered; those without a share of it never asked again. Entries report what servers have stated to them with their presence, which goes to all control hosts already; these push changes with the catalog. The latest statement counts; its age travels with it, so that no clocks are compared. A lost report is repeated every second. Control hosts do not store limits: after a restart the entries tell them again.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -26,6 +26,18 @@
 	Age time.Duration
 	// LeaseExpired is set by a control host that has received no report within the lease of the server.
 	LeaseExpired bool
+	// Limit is the last statement of the server about its request limit; nil when none is known. It comes from entries and
+	// not from the server's own reports, so that Sequence says nothing about it.
+	Limit *LimitReport
+}
+
+// LimitReport is what a server has stated in a response about its request limit.
+type LimitReport struct {
+	sycamorevane.RequestLimit
+	// Server is the ID of the server; empty in a Report.
+	Server string
+	// Age is the time since the response.
+	Age time.Duration
 }
 
 // ServerRecord is a server in the catalog.
@@ -35,6 +47,8 @@
 	// clock.
 	ReportedAt time.Time
 	ColdUntil  time.Time
+	// LimitStatedAt is when the server stated its Limit, by this host's monotonic clock.
+	LimitStatedAt time.Time
 	// revision is the catalog's revision at the last change of this record that had to be pushed.
 	revision uint64
 }
@@ -66,6 +80,9 @@
 		return false
 	}
 	old, known := c.servers[r.Server.ID]
+	if known && r.Limit != nil {
+		c.mergeLimit(old, *r.Limit, now)
+	}
 	if known && !c.addsInformation(old, &r) {
 		return false
 	}
@@ -74,8 +91,12 @@
 	}
 	rec := &ServerRecord{Report: r, ReportedAt: now.Add(-r.Age), ColdUntil: now.Add(r.ColdRemaining)}
 	rec.Age, rec.ColdRemaining = 0, 0
+	if r.Limit != nil {
+		rec.Limit, rec.LimitStatedAt = &LimitReport{RequestLimit: r.Limit.RequestLimit}, now.Add(-r.Limit.Age)
+	}
 	if known {
 		rec.revision = old.revision
+		rec.Limit, rec.LimitStatedAt = old.Limit, old.LimitStatedAt
 		rec.Draining = rec.Draining || old.Draining
 		rec.Ended = rec.Ended || old.Ended
 		if rec.ReportedAt.Before(old.ReportedAt) {
@@ -99,6 +120,27 @@
 	return r.Sequence > old.Sequence || r.Sequence == old.Sequence && r.LeaseExpired != old.LeaseExpired
 }
 
+// MergeLimit adds a statement about a server's request limit unless a later one is known. It ignores servers that are
+// not in the catalog.
+func (c *Catalog) MergeLimit(l LimitReport, now time.Time) {
+	if rec := c.servers[l.Server]; rec != nil {
+		c.mergeLimit(rec, l, now)
+	}
+}
+
+func (c *Catalog) mergeLimit(rec *ServerRecord, l LimitReport, now time.Time) {
+	statedAt := now.Add(-l.Age)
+	if rec.Limit != nil && !statedAt.After(rec.LimitStatedAt) {
+		return
+	}
+	changed := rec.Limit == nil || rec.Limit.RequestLimit != l.RequestLimit
+	rec.Limit, rec.LimitStatedAt = &LimitReport{RequestLimit: l.RequestLimit}, statedAt
+	if changed {
+		c.revision++
+		rec.revision = c.revision
+	}
+}
+
 // minColdChange is the change of ColdUntil up to which a record is not pushed again. Smaller changes come from the varying
 // delays of reports.
 const minColdChange = 300 * time.Millisecond
@@ -184,6 +226,9 @@
 	r := rec.Report
 	r.Age = max(0, now.Sub(rec.ReportedAt))
 	r.ColdRemaining = max(0, rec.ColdUntil.Sub(now))
+	if rec.Limit != nil {
+		r.Limit = &LimitReport{RequestLimit: rec.Limit.RequestLimit, Age: max(0, now.Sub(rec.LimitStatedAt))}
+	}
 	return r
 }
 
--- a/cataloger/control_catalog.go
+++ b/cataloger/control_catalog.go
@@ -172,7 +172,7 @@
 func completeReport(known ServerRecord, r Report) Report {
 	out := known.Report
 	out.Ended, out.Draining = out.Ended || r.Ended, out.Draining || r.Draining
-	out.LeaseExpired = false
+	out.LeaseExpired, out.Limit = false, nil
 	return out
 }
 
@@ -208,6 +208,19 @@
 	return c.cfg.Epoch, c.pushedRevision
 }
 
+// MergeLimits adds what servers have stated about their request limits in responses to entries. Changes are pushed to the
+// entries that follow this host.
+func (c *ControlCatalog) MergeLimits(list []*encoder.ServerLimit, age time.Duration) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range list {
+		l := decodeLimit(m)
+		l.Age += age
+		c.catalog.MergeLimit(l, now)
+	}
+}
+
 func (c *ControlCatalog) signal() {
 	select {
 	case c.wake <- struct{}{}:
--- a/cataloger/save.go
+++ b/cataloger/save.go
@@ -74,7 +74,8 @@
 	}
 	list := decode(m.Records)
 	for i := range list {
-		list[i].Age = 0 // The server gets a full lease to report again.
+		list[i].Age = 0     // The server gets a full lease to report again.
+		list[i].Limit = nil // The entries report what is still in force.
 	}
 	return list, nil
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -154,7 +154,7 @@
 	var probes []Probe
 	d.mu.Lock()
 	d.core.update(records)
-	d.core.forgetLimits(now)
+	d.adoptLimits(now, records)
 	if st != nil {
 		d.recordUndrained(st, now)
 	}
--- a/dispatcher/limit.go
+++ b/dispatcher/limit.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/cataloger"
 )
 
 const (
@@ -20,6 +21,9 @@
 	// limitCheckInterval is the time since the last statement of a limited server after which it is preferred for a
 	// request, so that the end of its limit is noticed.
 	limitCheckInterval = 5 * time.Second
+	// endedLimitRetention is how long the end of a limit is reported to the control hosts. Several reports are sent within
+	// this time.
+	endedLimitRetention = 10 * time.Second
 	// isolatedShare is the part of its share of a limit that an isolated entry uses.
 	isolatedShare = 0.25
 )
@@ -31,6 +35,8 @@
 	hash uint64
 	// statedAt is when the last response that stated the limit, or that there is none, was received.
 	statedAt time.Time
+	// shared is set when the response was received by another entry.
+	shared bool
 	// changedAt is when RequestLimit last changed. requests and probes count what this entry has sent since.
 	changedAt        time.Time
 	requests, probes int
@@ -90,9 +96,26 @@
 		return *l, false // The server may have named its limit after it had written this response.
 	}
 	previous = *l
+	l.shared = false
 	return previous, c.setLimit(now, id, l, statement.RequestLimit, now)
 }
 
+// adoptLimit applies what a response to another entry states, unless a later statement is known. It reports the same as
+// applyLimit.
+func (c *core) adoptLimit(now time.Time, record *cataloger.ServerRecord) (previous serverLimit, changed bool) {
+	id := record.Server.ID
+	l, known := c.limits[id]
+	if record.Limit == nil || !known && !record.Limit.Limited || known && !record.LimitStatedAt.After(l.statedAt) {
+		return serverLimit{}, false
+	}
+	if !known {
+		l = c.addLimit(now, id)
+	}
+	previous = *l
+	l.shared = true
+	return previous, c.setLimit(now, id, l, record.Limit.RequestLimit, record.LimitStatedAt)
+}
+
 func (c *core) addLimit(now time.Time, id string) *serverLimit {
 	l := &serverLimit{hash: xxhash.Sum64String(id), changedAt: now}
 	c.limits[id] = l
@@ -119,6 +142,20 @@
 	return true
 }
 
+// statedLimits lists the limits in force and those that have ended within endedLimitRetention, as stated in responses to
+// this entry.
+func (c *core) statedLimits(now time.Time) []cataloger.LimitReport {
+	var list []cataloger.LimitReport
+	for id, l := range c.limits {
+		age := now.Sub(l.statedAt)
+		if l.shared || c.byID[id] == nil || !l.Limited && age > endedLimitRetention {
+			continue
+		}
+		list = append(list, cataloger.LimitReport{RequestLimit: l.RequestLimit, Server: id, Age: age})
+	}
+	return list
+}
+
 // forgetLimits drops the limits of servers that have been missing from the catalog for long.
 func (c *core) forgetLimits(now time.Time) {
 	maps.DeleteFunc(c.limits, func(id string, l *serverLimit) bool {
@@ -250,14 +287,33 @@
 	}
 }
 
+// adoptLimits applies what responses to other entries state according to the catalog. The caller holds the lock.
+func (d *Dispatcher) adoptLimits(now time.Time, records []cataloger.ServerRecord) {
+	for i := range records {
+		if previous, changed := d.core.adoptLimit(now, &records[i]); changed {
+			d.logLimit(now, records[i].Server.ID, &previous)
+		}
+	}
+	d.core.forgetLimits(now)
+}
+
 // logLimit logs a changed limit together with what this entry has sent under the previous one.
 func (d *Dispatcher) logLimit(now time.Time, id string, previous *serverLimit) {
 	l := d.core.limits[id]
 	d.cfg.Log.Info("server changes its request limit", "server", id, "limited", l.Limited, "rate", l.Rate, "share", l.share,
-		"previous", previous.Rate,
+		"shared", l.shared, "agems", now.Sub(l.statedAt).Milliseconds(), "previous", previous.Rate,
 		"ms", now.Sub(previous.changedAt).Milliseconds(), "requests", previous.requests, "probes", previous.probes)
 }
 
+// StatedLimits lists what servers have stated about their request limits in responses to this entry, for the other
+// entries.
+func (d *Dispatcher) StatedLimits() []cataloger.LimitReport {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.statedLimits(now)
+}
+
 // countRequest counts a request that is sent to the server.
 func (d *Dispatcher) countRequest(s *server) {
 	if s.limited() {
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -107,6 +108,7 @@
 	for i := range f.entries {
 		f.entries[i] = f.startEntry(i)
 	}
+	f.wg.Go(f.shareLoop)
 	t.Cleanup(func() {
 		cancel()
 		f.wg.Wait()
@@ -131,6 +133,32 @@
 	return e
 }
 
+// shareLoop passes the limits that servers have stated to one entry on to the others, as control hosts do, except from and
+// to those that are cut off.
+func (f *limitFleet) shareLoop() {
+	for f.ctx.Err() == nil {
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		entries := slices.DeleteFunc(slices.Clone(f.entries), func(e *limitEntry) bool { return e.cutOff })
+		f.mu.Unlock()
+		var list []cataloger.LimitReport
+		for _, e := range entries {
+			list = append(list, e.dispatcher.StatedLimits()...)
+		}
+		f.mu.Lock()
+		for _, l := range list {
+			record, statedAt := &f.find(l.Server).record, time.Now().Add(-l.Age)
+			if record.Limit == nil || statedAt.After(record.LimitStatedAt) {
+				record.Limit, record.LimitStatedAt = &l, statedAt
+			}
+		}
+		f.mu.Unlock()
+		for _, e := range entries {
+			e.dispatcher.Update()
+		}
+	}
+}
+
 func (f *limitFleet) catalog() []cataloger.ServerRecord {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/resolver/directory.go
+++ b/resolver/directory.go
@@ -66,6 +66,8 @@
 	ControlHosts func() []string
 	// MaxListAge is how long the list of active entries is cached; 0 disables the cache.
 	MaxListAge time.Duration
+	// OnLimits receives the request limits that an entry has reported, and the age of its report; nil ignores them.
+	OnLimits func(list []*encoder.ServerLimit, age time.Duration)
 }
 
 // Directory tracks on a control host which entries accept requests, in a deployment whose configuration lists no hosts.
@@ -151,15 +153,25 @@
 func (d *Directory) onPresence(from string, m proto.Message) proto.Message {
 	p, _ := m.(*encoder.Presence)
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.direct[from] = entryPresence{Presence: p, receivedAt: time.Now()}
+	d.mu.Unlock()
+	d.passOnLimits(p, 0)
 	return nil
 }
 
+func (d *Directory) passOnLimits(p *encoder.Presence, age time.Duration) {
+	if d.cfg.OnLimits != nil && len(p.GetLimits()) > 0 {
+		d.cfg.OnLimits(p.Limits, age)
+	}
+}
+
 // onPresences handles records from another control host. The report that an entry is lost is accepted only from the host
 // that relayed the entry last: an entry that has lost one control host follows another one.
 func (d *Directory) onPresences(from string, m proto.Message) proto.Message {
 	list, _ := m.(*encoder.Presences)
+	for _, r := range list.GetRecords() {
+		d.passOnLimits(r.GetPresence(), time.Duration(r.GetAge())*time.Millisecond)
+	}
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/resolver/relay_test.go
+++ b/resolver/relay_test.go
@@ -126,3 +126,24 @@
 	named := append(d.Addresses("a"), d.Addresses("b")...)
 	require.ElementsMatch(t, d.Names(), named)
 }
+
+// Guards against limits of servers that are known only to the control hosts with a session to the entry that was told.
+func TestLimitsReachAllControlHosts(t *testing.T) {
+	directories, transports := newControlHosts("c1", "c2")
+	transports["c1"].alive["e"] = true
+	received := make(map[string]time.Duration)
+	for name, d := range directories {
+		d.cfg.OnLimits = func(list []*encoder.ServerLimit, age time.Duration) {
+			require.Equal(t, "x", list[0].Id)
+			received[name] = age
+		}
+	}
+	m := newPresence(true)
+	m.Limits = []*encoder.ServerLimit{{Id: "x", Limited: true, Rate: 1}}
+	directories["c1"].onPresence("e", m)
+	directories["c1"].relay(time.Now().Add(time.Second))
+	require.Zero(t, received["c1"])
+	require.InDelta(t, 1, received["c2"].Seconds(), 0.1)
+	directories["c1"].onPresence("e", newPresence(true))
+	require.Len(t, received, 2)
+}
--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -81,6 +81,7 @@
 	}
 	c.directory = resolver.NewDirectory(resolver.DirectoryConfig{
 		Transport: p.mesh, MaxAddresses: maxDirectoryAddrs, ControlHosts: c.otherMembers, MaxListAge: maxDirectoryAge,
+		OnLimits: func(list []*encoder.ServerLimit, age time.Duration) { c.catalog.MergeLimits(list, age) },
 	})
 	c.administrator = administrator.New(administrator.Config{
 		State: c.stateMachine.State, Propose: c.replicator.Propose, ReadBarrier: c.readBarrier, Versions: c.announcedSlots,
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -281,6 +281,7 @@
 	if st := e.subscriber.State(); st != nil {
 		m.Loads = e.versionLoads(st)
 	}
+	m.Limits = cataloger.EncodeLimits(e.dispatcher.StatedLimits())
 	source := e.p.selector.currentSource()
 	for _, name := range e.p.aliveControls().Sorted() {
 		m.Follows = name == source
