--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -295,11 +295,7 @@
 	var substitute *server
 	substituteCost, substituteCold := 0.0, false
 	for _, s := range p.servers {
-		if !usable(v, s, version, req.ExcludedServers) {
-			c.addBlocked(v, s, version, req.ExcludedServers, &got)
-			continue
-		}
-		if skipLeaving && s.isLeaving() {
+		if !usable(v, s, version, req.ExcludedServers) || skipLeaving && s.isLeaving() {
 			continue
 		}
 		got.anyUsable = true
@@ -350,21 +346,24 @@
 	if got.server != nil && got.server.limited() {
 		got.server.limit.bucket.take(v.now, got.server.limit.share)
 	}
-	if got.anyUsable {
-		got.requestedPauseEnd, got.limit = time.Time{}, limitWait{}
+	if !got.anyUsable {
+		got.requestedPauseEnd, got.limit = p.blockedUntil(v, version, req.ExcludedServers)
 	}
 	return got
 }
 
-// addBlocked records in the choice when an unusable server becomes usable, if a pause or a limit is the only reason.
-func (c *core) addBlocked(v *view, s *server, version string, excludedServers []string, got *choice) {
-	switch {
-	case !eligible(v, s, version, excludedServers):
-	case !s.requestedPauseAt(v.now):
-		got.limit.add(s.limit, v.position)
-	case got.requestedPauseEnd.IsZero() || s.requestedPauseEnd.Before(got.requestedPauseEnd):
-		got.requestedPauseEnd = s.requestedPauseEnd
+// blockedUntil returns when the servers that only a requested pause or their limit makes unusable take requests again.
+func (p *pool) blockedUntil(v *view, version string, excludedServers []string) (pauseEnd time.Time, limit limitWait) {
+	for _, s := range p.servers {
+		switch {
+		case !eligible(v, s, version, excludedServers):
+		case !s.requestedPauseAt(v.now):
+			limit.add(s.limit, v.position)
+		case pauseEnd.IsZero() || s.requestedPauseEnd.Before(pauseEnd):
+			pauseEnd = s.requestedPauseEnd
+		}
 	}
+	return pauseEnd, limit
 }
 
 // anyNotLeaving reports whether a usable server has not announced that it is leaving.
--- a/dispatcher/limit.go
+++ b/dispatcher/limit.go
@@ -61,19 +61,15 @@
 	return share, max(1, math.Floor(total/float64(senders)))
 }
 
-// updateShare applies a changed limit or position. An entry that had no share begins without a token, since others may
-// just have used theirs.
+// updateShare applies a changed limit or position. An entry without a share has no tokens, so that it also begins with
+// none: others may just have used theirs, and requests sent before the limit was known may still arrive.
 func (l *serverLimit) updateShare(now time.Time, position entryPosition) {
 	l.bucket.refill(now, l.share)
-	had := l.share > 0
 	l.share, l.bucket.size = 0, 0
 	if l.Limited {
 		l.share, l.bucket.size = divideLimit(l.Rate, l.hash, position)
 	}
-	if !had || l.share == 0 {
-		l.bucket.tokens = min(l.bucket.tokens, 0)
-	}
-	l.bucket.tokens = min(l.bucket.tokens, max(1, l.bucket.size))
+	l.bucket.tokens = min(l.bucket.tokens, l.bucket.size)
 }
 
 // nextRequestAt is when this entry may send the next request. The entry must have a share.
@@ -126,17 +122,12 @@
 func (c *core) setLimit(now time.Time, id string, l *serverLimit, limit sycamorevane.RequestLimit, statedAt time.Time) bool {
 	previous := l.RequestLimit
 	l.RequestLimit, l.statedAt = limit, statedAt
-	s := c.byID[id]
-	if s != nil {
+	if s := c.byID[id]; s != nil {
 		s.limit = l
 	}
 	if l.RequestLimit == previous {
 		return false
 	}
-	if !previous.Limited && s != nil {
-		// Requests that are under way may still arrive. One of them has just been answered.
-		l.bucket.tokens = -float64(max(0, len(s.startTimes)-1))
-	}
 	l.updateShare(now, c.position)
 	l.changedAt, l.requests, l.probes = now, 0, 0
 	return true
