The rate of a cold server holds while entries stop and start

What callers saw: nothing yet; a cold server that gets more than its rate can crash, with the requests that it runs. Two causes: an entry that got a share again began with the token from its last time, although others had just used theirs; and one entry more or less gave all shares to other entries, since the hash was taken modulo their number. Now a share begins without a token, and the index scales with the number of entries, so that it moves by one at most, as ranks do. Subsets and request limits use the same index and keep their entries as well. TestRoomIsKeptForOtherEntries took rank 0, which happened to have the server in its subset; it now looks for such a rank.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -463,6 +463,7 @@
 		return false
 	}
 	if s.offset(v.position.rank, v.position.entries) >= c.coldEntries(v, svc) {
+		s.coldBucket = tokenBucket{} // If its turn comes again, others may just have used their tokens.
 		return false
 	}
 	rate := c.coldRate(v, svc)
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -295,6 +295,9 @@
 		s.othersMean = float64(running)
 		v := newView(start.Add(age))
 		v.position.entries = entries
+		for !c.inSubset(v, s) {
+			v.position.rank++
+		}
 		return c.pick(v, newRequest()).server != nil
 	}
 	require.True(t, place(2, 0, entries), "it has just reported one free slot below its knee")
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -106,7 +107,11 @@
 // offset returns how far the rank follows the index that the server's hash selects out of n, modulo n.
 func (s *server) offset(rank, n int) int { return offset(s.hash, rank, n) }
 
-func offset(hash uint64, rank, n int) int { return (rank + n - int(hash%uint64(n))) % n }
+// offset scales the hash to n, so that an entry more or less moves the index by one at most, as it does the ranks.
+func offset(hash uint64, rank, n int) int {
+	index, _ := bits.Mul64(hash, uint64(n))
+	return (rank + n - int(index)) % n
+}
 
 func newServer(record cataloger.ServerRecord) *server {
 	return &server{
