Entries on standby have a retry budget of their own size

What callers saw: nothing yet; in a retry storm the servers could get more repeats than the deployment allows. Half of the slack stays divided among the active entries; each other entry may send one retry beyond its ratio. An entry that shuts down keeps its share.

--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -46,6 +46,8 @@
 	// lists all entries.
 	referenceCPU      = 0.32
 	referenceLinkMbps = 60
+	// standbyRetryBurst is the number of retries that an entry on standby may send in addition to a ratio of its requests.
+	standbyRetryBurst = 1
 	// rankTimeout is the age of this entry's rank from which the rank may be outdated. Control hosts send it every second,
 	// and consider an entry that they do not hear of as lost after 2.5 s.
 	rankTimeout = 2 * time.Second
@@ -120,9 +122,15 @@
 }
 
 // retryBurst returns how many retries this entry may send in addition to a ratio of its requests: half of an equal share of
-// what the deployment allows to all entries.
+// what the deployment allows to all active entries. The other half is for the others, which are not counted and also get
+// some requests: entries on standby, and those that have just started. An entry that shuts down keeps its share.
 func (e *discoveryEntry) retryBurst() float64 {
-	return e.p.cfg.Settings.Bounds.RetrySlack / float64(max(1, e.entryCount.Load())) / 2
+	rank, entries := e.entryRank()
+	share := e.p.cfg.Settings.Bounds.RetrySlack / float64(max(1, entries)) / 2
+	if rank >= entries && !e.shuttingDown.Load() {
+		return min(share, standbyRetryBurst)
+	}
+	return share
 }
 
 func (e *discoveryEntry) entryRank() (rank, entries int) {
