Request limits: reports that end and survive, no limit that lasts for good

A full catalog without a limit says so. - Retry-After of an entry without a share was the time of an equal share: half an hour for one of 449 entries and a limit of 0.25. It is now when any entry may send the next request. The choice of a server is split into smaller functions.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// forgetLimit drops what is known of a server's request limit.
+func (c *Catalog) forgetLimit(id string) {
+	if rec := c.servers[id]; rec != nil {
+		rec.Limit, rec.LimitStatedAt = nil, time.Time{}
+	}
+}
+
 func (c *Catalog) mergeLimit(rec *ServerRecord, l LimitReport, now time.Time) {
 	statedAt := now.Add(-l.Age)
 	if rec.Limit != nil && !statedAt.After(rec.LimitStatedAt) {
--- a/cataloger/follower.go
+++ b/cataloger/follower.go
@@ -139,6 +139,9 @@
 	}
 	for _, r := range decode(push.Records) {
 		f.catalog.Merge(r, now)
+		if push.Full && push.Epoch != 0 && r.Limit == nil {
+			f.catalog.forgetLimit(r.Server.ID)
+		}
 		delete(f.unlistedSince, r.Server.ID)
 	}
 	if push.Full && push.Epoch != 0 {
--- a/cataloger/limit_test.go
+++ b/cataloger/limit_test.go
@@ -71,6 +71,18 @@
 		follower.Merge(list[0], now)
 		expectRate(t, follower, 4)
 	})
+	t.Run("a full push without it means that the control host does not know it", func(t *testing.T) {
+		c := newCatalog()
+		f := NewFollower(FollowerConfig{Transport: newFakeTransports("entry")["entry"], OnChange: func() {}})
+		full := &encoder.CatalogPush{Epoch: 1, Full: true, Records: encode(c.ChangedSince(0, now))}
+		require.True(t, f.apply(full))
+		require.NotNil(t, f.All()[0].Limit)
+		f.apply(&encoder.CatalogPush{Epoch: 1, Records: encode([]Report{report})})
+		require.NotNil(t, f.All()[0].Limit)
+		full.Records[0].Limit = nil
+		f.apply(full)
+		require.Nil(t, f.All()[0].Limit)
+	})
 	t.Run("of an unknown server", func(t *testing.T) {
 		c := NewCatalog()
 		c.MergeLimit(limit(2, 0), now)
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -287,13 +287,10 @@
 	// A request that can meet its soft deadline waits for a server on which it would: on a slow host it would be
 	// late and occupy a slot several times as long.
 	mustBeInTime := canMeet && p.anyInTime(v, req, version, latency.base, remaining)
-	var got choice
-	lowestCost := 0.0
-	chosenCold := false
 	skipLeaving := p.anyNotLeaving(v, version, req.ExcludedServers)
+	var got choice
 	// A limited server is the substitute when no other one can take the request.
-	var substitute *server
-	substituteCost, substituteCold := 0.0, false
+	var best, substitute candidate
 	for _, s := range p.servers {
 		if !usable(v, s, version, req.ExcludedServers) || skipLeaving && s.isLeaving() {
 			continue
@@ -314,44 +311,69 @@
 			got.stale = true
 			continue
 		}
-		cost := s.cost(v.now, meanLatency, c.dc, cold) * (1 + costJitter*c.rand.Float64())
-		if outsideSubset && s.record.Server.DC == c.dc {
-			cost *= outsideSubsetCostFactor
-		}
-		if s.record.LeaseExpired {
-			cost *= leaseExpiredCostFactor
-		}
-		if s.pausedAt(v.now) {
-			cost *= pausedCostFactor
-		}
-		if limited && !req.Hedge && s.limitCheckDue(v.now) {
-			cost, limited = 0, false
-		}
-		if limited {
-			if substitute == nil || cost < substituteCost {
-				substitute, substituteCost, substituteCold = s, cost, cold
-			}
-			continue
-		}
-		if got.server == nil || cost < lowestCost {
-			got.server, lowestCost, chosenCold = s, cost, cold
+		cost := c.placementCost(v, s, meanLatency, cold, outsideSubset)
+		switch {
+		case !limited:
+			best.offer(s, cost, cold)
+		case !req.Hedge && s.limitCheckDue(v.now):
+			best.offer(s, 0, cold)
+		default:
+			substitute.offer(s, cost, cold)
 		}
 	}
-	if got.server == nil && !got.stale {
-		got.server, chosenCold = substitute, substituteCold
-	}
-	if got.server != nil && chosenCold {
-		got.server.coldBucket.take(v.now, c.coldRate(v, svc))
-	}
-	if got.server != nil && got.server.limited() {
-		got.server.limit.bucket.take(v.now, got.server.limit.share)
+	if best.server == nil && !got.stale {
+		best = substitute
 	}
+	got.server = best.server
+	c.takeTokens(v, &best, svc)
 	if !got.anyUsable {
 		got.requestedPauseEnd, got.limit = p.blockedUntil(v, version, req.ExcludedServers)
 	}
 	return got
 }
 
+// candidate is the server of the lowest cost so far; server is nil without one.
+type candidate struct {
+	server *server
+	cost   float64
+	cold   bool
+}
+
+func (b *candidate) offer(s *server, cost float64, cold bool) {
+	if b.server == nil || cost < b.cost {
+		*b = candidate{s, cost, cold}
+	}
+}
+
+// placementCost is the cost of the server including the reasons to avoid it, randomized by costJitter.
+func (c *core) placementCost(v *view, s *server, meanLatency time.Duration, cold, outsideSubset bool) float64 {
+	cost := s.cost(v.now, meanLatency, c.dc, cold) * (1 + costJitter*c.rand.Float64())
+	if outsideSubset && s.record.Server.DC == c.dc {
+		cost *= outsideSubsetCostFactor
+	}
+	if s.record.LeaseExpired {
+		cost *= leaseExpiredCostFactor
+	}
+	if s.pausedAt(v.now) {
+		cost *= pausedCostFactor
+	}
+	return cost
+}
+
+// takeTokens takes the tokens for a request to the chosen server.
+func (c *core) takeTokens(v *view, chosen *candidate, svc *sycamorevane.Service) {
+	s := chosen.server
+	if s == nil {
+		return
+	}
+	if chosen.cold {
+		s.coldBucket.take(v.now, c.coldRate(v, svc))
+	}
+	if s.limited() {
+		s.limit.bucket.take(v.now, s.limit.share)
+	}
+}
+
 // blockedUntil returns when the servers that only a requested pause or their limit makes unusable take requests again.
 func (p *pool) blockedUntil(v *view, version string, excludedServers []string) (pauseEnd time.Time, limit limitWait) {
 	for _, s := range p.servers {
--- a/dispatcher/limit.go
+++ b/dispatcher/limit.go
@@ -26,6 +26,9 @@
 	// endedLimitRetention is how long the end of a limit is reported to the control hosts. Several reports are sent within
 	// this time.
 	endedLimitRetention = 10 * time.Second
+	// unknownLimitExpiry is how long an entry keeps a limit that another entry was told and that its control host does not
+	// know. After a restart of all control hosts the entries report their limits within a few seconds.
+	unknownLimitExpiry = 10 * time.Second
 	// isolatedShare is the part of its share of a limit that an isolated entry uses.
 	isolatedShare = 0.25
 )
@@ -39,6 +42,8 @@
 	statedAt time.Time
 	// shared is set when the response was received by another entry.
 	shared bool
+	// unknownSince is since when the control host has not known the limit; zero while it does.
+	unknownSince time.Time
 	// changedAt is when RequestLimit last changed. requests and probes count what this entry has sent since.
 	changedAt        time.Time
 	requests, probes int
@@ -102,17 +107,38 @@
 func (c *core) adoptLimit(now time.Time, record *cataloger.ServerRecord) (previous serverLimit, changed bool) {
 	id := record.Server.ID
 	l, known := c.limits[id]
-	if record.Limit == nil || !known && !record.Limit.Limited || known && !record.LimitStatedAt.After(l.statedAt) {
+	if record.Limit == nil {
+		return c.expireUnknown(now, id)
+	}
+	if !known && !record.Limit.Limited || known && !record.LimitStatedAt.After(l.statedAt) {
 		return serverLimit{}, false
 	}
 	if !known {
 		l = c.addLimit(now, id)
 	}
 	previous = *l
-	l.shared = true
+	l.unknownSince = time.Time{}
+	l.shared = l.shared || l.RequestLimit != record.Limit.RequestLimit
 	return previous, c.setLimit(now, id, l, record.Limit.RequestLimit, record.LimitStatedAt)
 }
 
+// expireUnknown ends a limit that another entry was told and that the control host has not known for unknownLimitExpiry:
+// this entry may have missed its end. An entry with a share asks the server itself.
+func (c *core) expireUnknown(now time.Time, id string) (previous serverLimit, changed bool) {
+	l, known := c.limits[id]
+	if !known || !l.Limited || !l.shared || l.share > 0 {
+		return serverLimit{}, false
+	}
+	if l.unknownSince.IsZero() {
+		l.unknownSince = now
+	}
+	if now.Sub(l.unknownSince) <= unknownLimitExpiry {
+		return serverLimit{}, false
+	}
+	previous = *l
+	return previous, c.setLimit(now, id, l, sycamorevane.RequestLimit{}, l.statedAt)
+}
+
 func (c *core) addLimit(now time.Time, id string) *serverLimit {
 	l := &serverLimit{hash: xxhash.Sum64String(id), changedAt: now}
 	c.limits[id] = l
@@ -139,11 +165,10 @@
 func (c *core) statedLimits(now time.Time) []cataloger.LimitReport {
 	var list []cataloger.LimitReport
 	for id, l := range c.limits {
-		age := now.Sub(l.statedAt)
-		if l.shared || c.byID[id] == nil || !l.Limited && age > endedLimitRetention {
+		if l.shared || c.byID[id] == nil || !l.Limited && now.Sub(l.changedAt) > endedLimitRetention {
 			continue
 		}
-		list = append(list, cataloger.LimitReport{RequestLimit: l.RequestLimit, Server: id, Age: age})
+		list = append(list, cataloger.LimitReport{RequestLimit: l.RequestLimit, Server: id, Age: now.Sub(l.statedAt)})
 	}
 	return list
 }
@@ -183,24 +208,27 @@
 	// limits holds the limits of which this entry has a share, share their sum.
 	limits []*serverLimit
 	share  float64
-	// equalShare is the rate that each entry would get of all limits if they were divided equally.
-	equalShare float64
+	// total is the sum of all limits, which entries share.
+	total   float64
+	entries int
 }
 
 func (w *limitWait) add(l *serverLimit, position entryPosition) {
-	w.equalShare += max(l.Rate, minLimitRate) / float64(max(1, position.entries))
+	w.total += max(l.Rate, minLimitRate)
+	w.entries = max(1, position.entries)
 	if l.share > 0 {
 		w.limits = append(w.limits, l)
 		w.share += l.share
 	}
 }
 
-// rate is the rate at which callers should return. Callers of an entry without a share return to any entry.
+// rate is the rate at which callers should return. For an entry without a share it is that of an equal share, since
+// callers return to any entry.
 func (w *limitWait) rate() float64 {
 	if w.share > 0 {
 		return w.share
 	}
-	return w.equalShare
+	return w.total / float64(max(1, w.entries))
 }
 
 // startsBy returns how many requests may start until the given time.
@@ -216,14 +244,13 @@
 
 // startAt estimates when a request starts that has the given number of others before it.
 func (w *limitWait) startAt(now time.Time, before int) time.Time {
-	interval := float64(time.Second) / w.rate()
-	first := now.Add(time.Duration(interval))
-	for _, l := range w.limits {
-		if next := l.nextRequestAt(now); next.Before(first) {
+	first := now.Add(time.Duration(float64(time.Second) / w.total)) // The next request that any entry may send.
+	for i, l := range w.limits {
+		if next := l.nextRequestAt(now); i == 0 || next.Before(first) {
 			first = next
 		}
 	}
-	return first.Add(time.Duration(float64(before) * interval))
+	return first.Add(time.Duration(float64(before) / w.rate() * float64(time.Second)))
 }
 
 // allLimited reports whether all servers that may get requests of the service are limited.
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -752,3 +752,65 @@
 		}
 	}
 }
+
+// Guards against limits that are never reported, or whose end is reported as long as the server responds.
+func TestReportedLimits(t *testing.T) {
+	limited := sycamorevane.RequestLimit{Limited: true, Rate: 1}
+	state := func(c *core, at time.Duration, limit sycamorevane.RequestLimit) {
+		now := start.Add(at)
+		c.applyLimit(now, "x", &sycamorevane.LimitStatement{RequestLimit: limit, RequestedAt: now})
+	}
+	c := newTestCore(newRecord("x", "a", "v1"))
+	state(c, 0, sycamorevane.RequestLimit{})
+	require.Empty(t, c.statedLimits(start), "a server without a limit")
+	state(c, 0, limited)
+	require.Equal(t, []cataloger.LimitReport{{RequestLimit: limited, Server: "x", Age: time.Minute}}, c.statedLimits(start.Add(time.Minute)))
+	for s := range 30 {
+		at := time.Minute + time.Duration(s)*time.Second
+		state(c, at, sycamorevane.RequestLimit{})
+		require.Equal(t, at-time.Minute <= endedLimitRetention, len(c.statedLimits(start.Add(at))) == 1, "%v after the end", at-time.Minute)
+	}
+	state(c, 2*time.Minute, limited)
+	record := newRecord("x", "a", "v1")
+	adopt := func(at time.Duration, limit sycamorevane.RequestLimit) {
+		record.Limit, record.LimitStatedAt = &cataloger.LimitReport{RequestLimit: limit}, start.Add(at)
+		c.adoptLimit(start.Add(at), &record)
+	}
+	adopt(3*time.Minute, limited)
+	require.Len(t, c.statedLimits(start.Add(3*time.Minute)), 1, "another entry was told the same, and may restart")
+	adopt(4*time.Minute, sycamorevane.RequestLimit{Limited: true, Rate: 2})
+	require.Empty(t, c.statedLimits(start.Add(4*time.Minute)), "another entry was told something else")
+}
+
+// Guards against an entry that does without a server for good because it missed the end of a limit.
+func TestUnknownLimitEnds(t *testing.T) {
+	unknown := newRecord("x", "a", "v1")
+	known := unknown
+	known.Limit = &cataloger.LimitReport{RequestLimit: sycamorevane.RequestLimit{Limited: true, Rate: 1}}
+	known.LimitStatedAt = start.Add(time.Second)
+	setup := func(hasShare bool) *core {
+		for rank := range 18 {
+			c := newTestCore(unknown)
+			c.setPosition(start, entryPosition{rank: rank, entries: 18})
+			c.adoptLimit(start, &known)
+			if (c.limits["x"].share > 0) == hasShare {
+				return c
+			}
+		}
+		return nil
+	}
+	endsAfter := func(c *core, steps ...time.Duration) bool {
+		for _, at := range steps {
+			c.adoptLimit(start.Add(at), &unknown)
+		}
+		return !c.byID["x"].limited()
+	}
+	require.False(t, endsAfter(setup(false), time.Minute, time.Minute+unknownLimitExpiry))
+	require.True(t, endsAfter(setup(false), time.Minute, time.Minute+unknownLimitExpiry+time.Second))
+	require.False(t, endsAfter(setup(true), time.Minute, time.Hour), "it asks the server itself")
+	c := setup(false)
+	require.False(t, endsAfter(c, time.Minute))
+	known.LimitStatedAt = start.Add(time.Minute)
+	c.adoptLimit(start.Add(time.Minute), &known)
+	require.False(t, endsAfter(c, 2*time.Minute), "the control host has learned of it again")
+}
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -171,16 +171,16 @@
 // hasCapacity reports whether one more request stays within the limit, given the number of entries that send
 // requests.
 func (s *server) hasCapacity(now time.Time, meanLatency time.Duration, entries int, limit float64) bool {
-	if s.reportedAt.IsZero() && s.reportsLoad && !s.limited() {
+	if s.limited() {
+		return s.estimatedRunning(now, meanLatency)+0.5 < limit // Its limit leaves room for what other entries send.
+	}
+	if s.reportedAt.IsZero() && s.reportsLoad {
 		return len(s.startTimes) == 0 // Other entries may discover the server at the same moment.
 	}
-	if s.lastOutcome.IsZero() && s.reportedAt.IsZero() && entries > 1 && !s.limited() {
+	if s.lastOutcome.IsZero() && s.reportedAt.IsZero() && entries > 1 {
 		// After a start all entries find all servers idle.
 		return float64(len(s.startTimes)) < max(1, math.Floor(limit/float64(entries)))
 	}
-	if s.limited() {
-		return s.estimatedRunning(now, meanLatency)+0.5 < limit // Its limit leaves room for what other entries send.
-	}
 	return s.estimatedRunning(now, meanLatency)+s.reservedForOthers(now, meanLatency, entries, limit)+0.5 < limit
 }
 
