Request limits are reported while control hosts do not know them, and kept with the catalog

Entries reported each limit in force every second. With hundreds of limited servers and entries that would be several hundred KB a second on each control host, worked out from 40 bytes a report. A limit is now reported for 10 s after a change, and while the entry's control host does not know it or knows another one. A control host that restarts alone therefore keeps limits in its catalog file, with their age; its entries would otherwise drop those that others were told. TestReportedLimits, TestLimitsInTheCatalog.

--- a/cataloger/limit_test.go
+++ b/cataloger/limit_test.go
@@ -1,6 +1,7 @@
 package cataloger
 
 import (
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -83,6 +84,16 @@
 		f.apply(full)
 		require.Nil(t, f.All()[0].Limit)
 	})
+	t.Run("it survives a restart of the control host, with its age", func(t *testing.T) {
+		f := File{Path: filepath.Join(t.TempDir(), "catalog")}
+		require.NoError(t, f.save(newCatalog().ChangedSince(0, now), now))
+		list, err := f.load(now.Add(5 * time.Second))
+		require.NoError(t, err)
+		require.Equal(t, 6*time.Second, list[0].Limit.Age)
+		list, err = f.load(now.Add(-5 * time.Second))
+		require.NoError(t, err)
+		require.Equal(t, time.Second, list[0].Limit.Age, "the clock was set back")
+	})
 	t.Run("of an unknown server", func(t *testing.T) {
 		c := NewCatalog()
 		c.MergeLimit(limit(2, 0), now)
--- a/cataloger/save.go
+++ b/cataloger/save.go
@@ -65,7 +65,8 @@
 	case len(data) < fileHeaderBytes || binary.LittleEndian.Uint64(data) != xxhash.Sum64(data[8:]):
 		return nil, errors.New("saved catalog is damaged: truncated or wrong checksum")
 	}
-	if now.Sub(time.UnixMilli(int64(binary.LittleEndian.Uint64(data[8:])))).Abs() > maxFileAge {
+	sinceSave := now.Sub(time.UnixMilli(int64(binary.LittleEndian.Uint64(data[8:]))))
+	if sinceSave.Abs() > maxFileAge {
 		return nil, nil
 	}
 	m := &encoder.Heartbeats{}
@@ -74,8 +75,10 @@
 	}
 	list := decode(m.Records)
 	for i := range list {
-		list[i].Age = 0     // The server gets a full lease to report again.
-		list[i].Limit = nil // The entries report what is still in force.
+		list[i].Age = 0 // The server gets a full lease to report again.
+		if list[i].Limit != nil {
+			list[i].Limit.Age += max(0, sinceSave)
+		}
 	}
 	return list, nil
 }
--- a/dispatcher/limit.go
+++ b/dispatcher/limit.go
@@ -23,11 +23,11 @@
 	// limitCheckInterval is the time since the last statement of a limited server after which it is preferred for a
 	// request, so that the end of its limit is noticed.
 	limitCheckInterval = 5 * time.Second
-	// endedLimitRetention is how long the end of a limit is reported to the control hosts. Several reports are sent within
-	// this time.
-	endedLimitRetention = 10 * time.Second
+	// limitReportPeriod is how long a changed limit is reported to the control hosts. Several reports are sent within this
+	// time, since one may be lost.
+	limitReportPeriod = 10 * time.Second
 	// unknownLimitExpiry is how long an entry keeps a limit that another entry was told and that its control host does not
-	// know. After a restart of all control hosts the entries report their limits within a few seconds.
+	// know. After a loss of all control hosts the entries report their limits again within a few seconds.
 	unknownLimitExpiry = 10 * time.Second
 	// isolatedShare is the part of its share of a limit that an isolated entry uses.
 	isolatedShare = 0.25
@@ -160,12 +160,13 @@
 	return true
 }
 
-// statedLimits lists the limits in force and those that have ended within endedLimitRetention, as stated in responses to
-// this entry.
+// statedLimits lists what responses to this entry have stated, if that is a recent change or not what the control host
+// knows.
 func (c *core) statedLimits(now time.Time) []cataloger.LimitReport {
 	var list []cataloger.LimitReport
 	for id, l := range c.limits {
-		if l.shared || c.byID[id] == nil || !l.Limited && now.Sub(l.changedAt) > endedLimitRetention {
+		s := c.byID[id]
+		if s == nil || l.shared || now.Sub(l.changedAt) > limitReportPeriod && l.RequestLimit == s.catalogedLimit() {
 			continue
 		}
 		list = append(list, cataloger.LimitReport{RequestLimit: l.RequestLimit, Server: id, Age: now.Sub(l.statedAt)})
@@ -191,6 +192,14 @@
 	}
 }
 
+// catalogedLimit is the limit of the server that the control host knows.
+func (s *server) catalogedLimit() sycamorevane.RequestLimit {
+	if s.record.Limit == nil {
+		return sycamorevane.RequestLimit{}
+	}
+	return s.record.Limit.RequestLimit
+}
+
 func (s *server) limited() bool { return s.limit != nil && s.limit.Limited }
 
 // withinLimit reports whether this entry may send the server a request now.
