--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -27,7 +27,7 @@
 		"not a number":       {http.Header{"X-Limit": {"many"}, "X-Proof": {"p"}}, nil},
 		"NaN":                {http.Header{"X-Limit": {"NaN"}, "X-Proof": {"p"}}, nil},
 		"infinite":           {http.Header{"X-Limit": {"Inf"}, "X-Proof": {"p"}}, nil},
-		"of another dialect": {http.Header{"Server-Limit": {"1"}}, nil},
+		"of another dialect": {http.Header{"X-Other-Limit": {"1"}}, nil},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
