--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -361,6 +361,48 @@
 	}
 }
 
+// Guards against a cold server that gets more than its rate, or nothing, while the ranks of the entries that share it change.
+func TestColdRateHoldsWhileRanksChange(t *testing.T) {
+	const entries, seconds, step = 40, 20, 10 * time.Millisecond
+	svc, bounds := newView(start).state.Config.Service("s"), newTestCore().bounds
+	allowed := svc.ColdRate*bounds.ColdFactor + bounds.ColdSlack
+	for _, c := range []struct {
+		interval time.Duration
+		// lost is how many entries stop or start at a time.
+		lost int
+	}{{250 * time.Millisecond, 1}, {time.Second, 1}, {300 * time.Millisecond, 7}} {
+		for server := range 10 {
+			x := newRecord(fmt.Sprintf("x%d", server), "a", "v1")
+			x.ColdUntil = start.Add(time.Minute)
+			var cores []*core
+			for range entries {
+				cores = append(cores, newTestCore(x))
+			}
+			var arrivals []time.Time
+			for at := time.Duration(0); at < seconds*time.Second; at += step {
+				v := newView(start.Add(at))
+				active := entries - c.lost*(int(at/c.interval)%5)
+				for rank, c := range cores {
+					v.position = entryPosition{rank: min(rank, active), entries: active}
+					if got := c.pick(v, newRequest()); got.server != nil {
+						arrivals = append(arrivals, v.now)
+					}
+				}
+			}
+			first := 0
+			for i, at := range arrivals {
+				for at.Sub(arrivals[first]) >= time.Second {
+					first++
+				}
+				require.LessOrEqual(t, float64(i-first+1), allowed, "requests in 1 s, %v after the start, %+v", at.Sub(start), c)
+			}
+			if c.interval == time.Second {
+				require.Greater(t, float64(len(arrivals)), 0.5*svc.ColdRate*seconds, "the server is used, %+v", c)
+			}
+		}
+	}
+}
+
 // Guards against full load on servers that became cold while their data centre was drained and have not reported it.
 func TestReturnedDataCentreIsColdUntilItReports(t *testing.T) {
 	c := newTestCore(newRecord("x", "a", "v1"))
