Limited servers accept requests at regular intervals, and urgent requests first

Cause: all token buckets of an entry were filled in step; its requests were accepted in one burst every 2.7 s, and each request in between was refused at once, whatever its priority. Hedges took tokens as well. Evidence: 27 servers of 1.1 a second, 3 entries, 24 urgent requests of 77 a second, in virtual time: 38% of the urgent ones and 36% of the others served, though the servers accept 29.7. Buckets now have phases by server and entry. A new limit is used from the start, since nobody has taken a token yet; an entry that gets a share later begins in debt. A hedge is never sent to a limited server.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -101,6 +101,8 @@
 	lastCongested time.Time
 	// nextReturn is the earliest time at which the next caller that is refused because of limits should return.
 	nextReturn time.Time
+	// arrivals holds the rates of the requests by priority.
+	arrivals map[int]*arrivalRate
 }
 
 func (p *pool) congestedAt(now time.Time) bool { return now.Sub(p.lastCongested) < congestedPeriod }
@@ -163,7 +165,7 @@
 func (c *core) pool(service string) *pool {
 	p, ok := c.pools[service]
 	if !ok {
-		p = &pool{latencies: make(map[string]*routeLatency)}
+		p = &pool{latencies: make(map[string]*routeLatency), arrivals: make(map[int]*arrivalRate)}
 		c.pools[service] = p
 	}
 	return p
@@ -295,8 +297,11 @@
 		if !usable(v, s, version, req.ExcludedServers) || skipLeaving && s.isLeaving() {
 			continue
 		}
-		got.anyUsable = true
 		limited := s.limited()
+		if limited && req.Hedge {
+			continue // What the server accepts is for requests that run nowhere yet.
+		}
+		got.anyUsable = true
 		outsideSubset := !limited && !c.inSubset(v, s)
 		if outsideSubset && s.reportsLoad && v.now.Sub(s.reportedAt) > outsideSubsetReportAge {
 			continue
@@ -315,7 +320,7 @@
 		switch {
 		case !limited:
 			best.offer(s, cost, cold)
-		case !req.Hedge && s.limitCheckDue(v.now):
+		case s.limitCheckDue(v.now):
 			best.offer(s, 0, cold)
 		default:
 			substitute.offer(s, cost, cold)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -205,6 +205,9 @@
 	w := &waiter{
 		req: &req, result: make(chan placement, 1), versionChoice: d.core.chooseVersion(v, &req), freshUntil: d.freshUntil(now),
 	}
+	if !req.Hedge {
+		d.core.pool(req.Service).countArrival(now, req.Priority)
+	}
 	got := choice{anyUsable: true}
 	if len(d.queue[req.Service]) == 0 || req.Hedge {
 		got = d.place(v, w)
--- a/dispatcher/limit.go
+++ b/dispatcher/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,29 +53,49 @@
 	bucket tokenBucket
 }
 
-// divideLimit returns the rate of requests that the entry in the given position may send to a limited server, and how
-// many of them at once.
-func divideLimit(rate float64, hash uint64, position entryPosition) (share, burst float64) {
+// limitShare is what an entry may send to a limited server.
+type limitShare struct {
+	// rate is in requests per second, burst the number of requests at once.
+	rate, burst float64
+	// phase is the part of the interval between two requests by which this entry is ahead, from 0 to 1. It differs between
+	// the entries of a server and between servers, so that requests are accepted at regular intervals.
+	phase float64
+}
+
+// divideLimit returns the share of the entry in the given position; its rate is 0 when the entry may not send any requests.
+func divideLimit(rate float64, hash uint64, position entryPosition) limitShare {
 	rate = max(rate, minLimitRate)
 	senders := min(position.entries, int(min(rate, float64(position.entries)))+minLimitSenders)
-	if position.rank >= position.entries || offset(hash, position.rank, position.entries) >= senders {
-		return 0, 0
+	if position.rank >= position.entries {
+		return limitShare{}
 	}
-	share = rate / float64(senders)
+	index := offset(hash, position.rank, position.entries)
+	if index >= senders {
+		return limitShare{}
+	}
+	_, phase := math.Modf(float64(uint32(hash))/(1<<32) + float64(index)/float64(senders))
+	share := limitShare{rate: rate / float64(senders), burst: (rate + limitBurst) / float64(senders), phase: phase}
 	if position.isolated {
-		return isolatedShare * share, 1
+		share.rate, share.burst = isolatedShare*share.rate, 1
 	}
-	return share, (rate + limitBurst) / float64(senders)
+	return share
 }
 
-// updateShare applies a changed limit or position. An entry without a share has no tokens, so that it also begins with
-// none: others may just have used theirs, and requests sent before the limit was known may still arrive.
-func (l *serverLimit) updateShare(now time.Time, position entryPosition) {
+// updateShare applies a changed limit or position. When the limit is new, nobody has used a token yet. An entry that gets a
+// share later begins in debt, since the others may just have used theirs.
+func (l *serverLimit) updateShare(now time.Time, position entryPosition, newLimit bool) {
 	l.bucket.refill(now, l.share)
-	l.share, l.bucket.size = 0, 0
+	var share limitShare
 	if l.Limited {
-		l.share, l.bucket.size = divideLimit(l.Rate, l.hash, position)
+		share = divideLimit(l.Rate, l.hash, position)
+	}
+	switch {
+	case newLimit:
+		l.bucket.tokens = share.phase
+	case l.share == 0:
+		l.bucket.tokens = share.phase - 1
 	}
+	l.share, l.bucket.size = share.rate, share.burst
 	l.bucket.tokens = min(l.bucket.tokens, l.bucket.size)
 }
 
@@ -155,7 +176,7 @@
 	if l.RequestLimit == previous {
 		return false
 	}
-	l.updateShare(now, c.position)
+	l.updateShare(now, c.position, !previous.Limited)
 	l.changedAt, l.requests, l.probes = now, 0, 0
 	return true
 }
@@ -188,7 +209,7 @@
 	}
 	c.position = position
 	for _, l := range c.limits {
-		l.updateShare(now, position)
+		l.updateShare(now, position, false)
 	}
 }
 
--- a/dispatcher/limit_fleet_test.go
+++ b/dispatcher/limit_fleet_test.go
@@ -66,9 +66,11 @@
 	uploadShare float64
 	// hedgeShare is the share of requests that are hedged, shedShare the share that servers shed.
 	hedgeShare, shedShare float64
-	ctx                   context.Context
-	wg                    sync.WaitGroup
-	result                limitResult
+	// urgentShare is the share of requests with a higher priority than the others.
+	urgentShare float64
+	ctx         context.Context
+	wg          sync.WaitGroup
+	result      limitResult
 }
 
 type limitEntry struct {
@@ -90,6 +92,8 @@
 // limitResult counts what callers got.
 type limitResult struct {
 	requests, served, refused int
+	// urgent counts the urgent requests at their first attempt, urgentServed those that were served at any.
+	urgent, urgentServed int
 	// lateRefusals counts the refusals that came later than promptRefusal.
 	lateRefusals int
 }
@@ -309,10 +313,27 @@
 	return !shed
 }
 
+// drawPriority draws the priority of a request.
+func (f *limitFleet) drawPriority() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.rand.Float64() >= f.urgentShare {
+		return 1
+	}
+	f.result.urgent++
+	return 0
+}
+
 // call sends one request of a caller, with one retry and a possible hedge.
 func (f *limitFleet) call(e *limitEntry) (served bool, refused *sycamorevane.RefusedError) {
+	return f.callWithPriority(e, f.drawPriority())
+}
+
+func (f *limitFleet) callWithPriority(e *limitEntry, priority int) (served bool, refused *sycamorevane.RefusedError) {
 	began := time.Now()
-	req := sycamorevane.Request{Service: "s", Route: "r", Deadline: began.Add(2500 * time.Millisecond), SoftDeadline: began.Add(600 * time.Millisecond)}
+	req := sycamorevane.Request{
+		Service: "s", Route: "r", Priority: priority, Deadline: began.Add(2500 * time.Millisecond), SoftDeadline: began.Add(600 * time.Millisecond),
+	}
 	f.mu.Lock()
 	hedged, shed := f.rand.Float64() < f.hedgeShare, f.rand.Float64() < f.shedShare
 	f.mu.Unlock()
@@ -330,6 +351,9 @@
 		if f.attempt(e, g, shed) {
 			f.mu.Lock()
 			f.result.served++
+			if priority == 0 {
+				f.result.urgentServed++
+			}
 			f.mu.Unlock()
 			return true, nil
 		}
@@ -480,7 +504,8 @@
 		f.mu.Unlock()
 		time.Sleep(time.Duration(gap * float64(time.Second)))
 		f.wg.Go(func() {
-			served, refused := f.call(first)
+			priority := f.drawPriority()
+			served, refused := f.callWithPriority(first, priority)
 			if served || refused == nil || f.ctx.Err() != nil {
 				return
 			}
@@ -488,7 +513,7 @@
 			if !time.Now().Before(end) {
 				return
 			}
-			served, _ = f.call(second)
+			served, _ = f.callWithPriority(second, priority)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			returned++
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -182,6 +182,28 @@
 	}
 }
 
+// Guards against urgent requests that are refused while others use the limits, and against limits that are named at the same
+// moment and accept their requests in step.
+func TestUrgentRequestsWithinTheLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitFleet(t, 3, 3, 27)
+		f.shedShare, f.urgentShare = 0, 0.3
+		const rate, load, seconds = 1.1, 77, 20
+		f.play(load, 3*time.Second)
+		for i := range f.servers {
+			f.setLimit(i, rate)
+		}
+		f.play(load, 5*time.Second)
+		f.takeResult()
+		f.playReturning(load, seconds*time.Second)
+		f.expectLimitsKept()
+		r := f.takeResult()
+		require.Greater(t, float64(r.urgentServed), 0.9*float64(r.urgent), "they are fewer than the servers accept")
+		require.Greater(t, float64(r.served), 0.9*rate*seconds*float64(len(f.servers)))
+		require.Less(t, float64(r.lateRefusals), 0.03*float64(r.refused))
+	})
+}
+
 // Guards against a Retry-After at which the request is refused again.
 func TestRetryAfterOfLimitedServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -189,11 +211,7 @@
 		f.hedgeShare, f.shedShare = 0, 0
 		f.setLimit(0, 1)
 		f.call(f.entries[0])
-		time.Sleep(1500 * time.Millisecond)
-		for range 2 {
-			served, _ := f.call(f.entries[0])
-			require.True(t, served)
-		}
+		f.entries[0].dispatcher.core.limits["s0"].bucket.tokens = 0
 		var delays []time.Duration
 		for range 4 {
 			began := time.Now()
--- a/dispatcher/limit_wait.go
+++ b/dispatcher/limit_wait.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"time"
 
 	"sycamorevane.example/sycamorevane"
@@ -56,6 +57,43 @@
 	return first.Add(time.Duration(float64(before) / w.rate() * float64(time.Second)))
 }
 
+// arrivalRate estimates a rate of requests, in requests per second, over about arrivalRatePeriod.
+type arrivalRate struct {
+	value float64
+	at    time.Time
+}
+
+const arrivalRatePeriod = time.Second
+
+func (r *arrivalRate) add(now time.Time) {
+	r.value, r.at = r.get(now)+1/arrivalRatePeriod.Seconds(), now
+}
+
+func (r *arrivalRate) get(now time.Time) float64 {
+	return r.value * decay(now.Sub(r.at), arrivalRatePeriod)
+}
+
+// countArrival counts a request of the priority.
+func (p *pool) countArrival(now time.Time, priority int) {
+	r, ok := p.arrivals[priority]
+	if !ok {
+		r = &arrivalRate{}
+		p.arrivals[priority] = r
+	}
+	r.add(now)
+}
+
+// moreUrgentRate is the rate of the requests that are served before those of the priority.
+func (p *pool) moreUrgentRate(now time.Time, priority int) float64 {
+	rate := 0.0
+	for other, r := range p.arrivals {
+		if other < priority {
+			rate += r.get(now)
+		}
+	}
+	return rate
+}
+
 // allLimited reports whether all servers that may get requests of the service are limited.
 func (p *pool) allLimited(v *view) bool {
 	found := false
@@ -72,12 +110,16 @@
 }
 
 // refuseUnlessSoon refuses a request whose servers have all asked for a pause or have no room within their limits, unless
-// limits allow it to start in time after those that wait before it. It returns nil if the request should wait.
+// limits allow it to start in time after those that wait before it and the more urgent ones that are to be expected. It
+// returns nil if the request should wait.
 func (d *Dispatcher) refuseUnlessSoon(now time.Time, w *waiter, got choice, before int) error {
 	if got.limit.rate() <= 0 {
 		return d.refuseUntilPauseEnds(now, w.req, got.requestedPauseEnd)
 	}
-	if got.limit.startsBy(now, w.latestStart.Add(-queueRetryInterval)) > before {
+	latest := w.latestStart.Add(-queueRetryInterval)
+	moreUrgent := d.core.pool(w.req.Service).moreUrgentRate(now, w.req.Priority) * max(0, latest.Sub(now).Seconds())
+	// The standard deviation of the number of independent arrivals is its square root.
+	if float64(got.limit.startsBy(now, latest)) >= float64(before+1)+moreUrgent+math.Sqrt(moreUrgent) {
 		return nil
 	}
 	at := got.limit.startAt(now, before)
