--- a/dispatcher/limit_fleet_test.go
+++ b/dispatcher/limit_fleet_test.go
@@ -223,7 +223,10 @@
 		delete(s.told, i)
 	}
 	f.mu.Unlock()
-	f.entries[i] = f.startEntry(i)
+	e := f.startEntry(i)
+	f.mu.Lock()
+	f.entries[i] = e
+	f.mu.Unlock()
 }
 
 // setLimit sets the limit of the server; a negative rate ends it.
@@ -346,7 +349,9 @@
 		}
 		req.ExcludedServers = append(req.ExcludedServers, g.Server.ID)
 		if hedged {
-			f.wg.Go(func() { f.hedge(e, req) })
+			hedge := req
+			hedge.ExcludedServers = slices.Clone(req.ExcludedServers)
+			f.wg.Go(func() { f.hedge(e, hedge) })
 		}
 		if f.attempt(e, g, shed) {
 			f.mu.Lock()
