A hedge beside a limited and a leaving server no longer panics

What callers saw: nothing yet. Found while reading the change again: when a hedge skipped a limited server with a token and the other usable server was leaving, the list of blocked servers took the limit of the leaving one, which has none. The panic came with the dispatcher's lock held, so that the entry would have answered nothing from then on. TestHedgeBesideALimitedAndALeavingServer: nil pointer on the code before. Only limited servers are listed, and none for hedges, which are refused at once.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -332,7 +332,7 @@
 	got.server = best.server
 	c.takeTokens(v, &best, svc)
 	if !got.anyUsable {
-		got.requestedPauseEnd, got.limit = p.blockedUntil(v, version, req.ExcludedServers)
+		got.requestedPauseEnd, got.limit = p.blockedUntil(v, req, version)
 	}
 	return got
 }
@@ -379,15 +379,18 @@
 	}
 }
 
-// blockedUntil returns when the servers that only a requested pause or their limit makes unusable take requests again.
-func (p *pool) blockedUntil(v *view, version string, excludedServers []string) (pauseEnd time.Time, limit limitWait) {
+// blockedUntil returns when the servers that only a requested pause or their limit makes unusable take the request. Limited
+// servers take no hedges.
+func (p *pool) blockedUntil(v *view, req *sycamorevane.Request, version string) (pauseEnd time.Time, limit limitWait) {
 	for _, s := range p.servers {
 		switch {
-		case !eligible(v, s, version, excludedServers):
-		case !s.requestedPauseAt(v.now):
+		case !eligible(v, s, version, req.ExcludedServers) || s.limited() && req.Hedge:
+		case s.requestedPauseAt(v.now):
+			if pauseEnd.IsZero() || s.requestedPauseEnd.Before(pauseEnd) {
+				pauseEnd = s.requestedPauseEnd
+			}
+		case s.limited():
 			limit.add(s.limit, v.position)
-		case pauseEnd.IsZero() || s.requestedPauseEnd.Before(pauseEnd):
-			pauseEnd = s.requestedPauseEnd
 		}
 	}
 	return pauseEnd, limit
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -308,3 +308,20 @@
 	c.adoptLimit(start.Add(time.Minute), &known)
 	require.False(t, endsAfter(c, 2*time.Minute), "the control host has learned of it again")
 }
+
+// Guards against a crash, and against a hedge that waits, when only a limited server and one that is leaving are left.
+func TestHedgeBesideALimitedAndALeavingServer(t *testing.T) {
+	x, y := newRecord("x", "a", "v1"), newRecord("y", "a", "v1")
+	c := newDirectiveCore(x, y)
+	c.setPosition(start, entryPosition{rank: 0, entries: 1})
+	c.applyLimit(start, "x", &sycamorevane.LimitStatement{RequestLimit: sycamorevane.RequestLimit{Limited: true, Rate: 5}, RequestedAt: start})
+	c.applyDirective(start, "y", leavingDirective)
+	c.byID["x"].limit.bucket.tokens = 1
+	req := newRequest()
+	req.Hedge = true
+	got := c.pick(newView(start), req)
+	require.Nil(t, got.server)
+	require.False(t, got.anyUsable)
+	require.False(t, got.blocked(start), "it is refused at once")
+	require.Equal(t, "x", c.pickID(newView(start), newRequest()), "a first attempt may use it")
+}
