Tests of request limits check more again; comments after a second reading

Two tests counted refusals in place of served requests, so that a request that never ended would have passed; they now also demand that each request ends. HandleDirective said that no directive reaches other entries; limits do.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -433,8 +433,9 @@
 	return counts
 }
 
-// HandleDirective applies what a server requested in a response. It affects only this start of the server and only
-// this entry: a false directive excludes no other server, and no later report of the server revokes it.
+// HandleDirective applies what a server requested in a response. It affects only this start of the server: a false
+// directive excludes no other server, and no later report of the server revokes it. Except for request limits, which
+// other entries adopt, it affects only this entry.
 func (d *Dispatcher) HandleDirective(server string, directive sycamorevane.ServerDirective) {
 	now := time.Now()
 	if directive.Limit != nil {
--- a/dispatcher/limit.go
+++ b/dispatcher/limit.go
@@ -35,7 +35,7 @@
 )
 
 // serverLimit is what is known of the request limit of a server, and this entry's share of it. The rate is divided
-// among a few entries: each may send one request at any moment, and limiting their number bounds the sum.
+// among a few entries, since each must be able to send at least one request at once.
 type serverLimit struct {
 	sycamorevane.RequestLimit
 	hash uint64
--- a/dispatcher/limit_fleet_test.go
+++ b/dispatcher/limit_fleet_test.go
@@ -411,6 +411,16 @@
 	}
 }
 
+// expectServed waits for the running requests and checks that the share of the requests since takeResult was served. Of the
+// requests before, those that were then running count as well.
+func (f *limitFleet) expectServed(share float64) {
+	f.t.Helper()
+	time.Sleep(3 * time.Second)
+	r := f.takeResult()
+	require.GreaterOrEqual(f.t, r.served+r.refused, r.requests, "each request ends")
+	require.LessOrEqual(f.t, float64(r.refused), (1-share)*float64(r.requests), "the other servers have room")
+}
+
 // takeResult returns what callers got since the last call.
 func (f *limitFleet) takeResult() limitResult {
 	f.mu.Lock()
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -41,8 +41,7 @@
 					f.takeResult()
 					f.play(load, 10*time.Second)
 					f.expectLimitsKept()
-					r := f.takeResult()
-					require.LessOrEqual(t, float64(r.refused), 0.01*float64(r.requests), "the other servers have room")
+					f.expectServed(0.99)
 				})
 			})
 		}
@@ -75,8 +74,7 @@
 		ended := time.Now()
 		f.play(load, 10*time.Second)
 		require.Greater(t, f.arrivalsSince(0, ended), 25, "half of its share of the load after the end of its limit")
-		r := f.takeResult()
-		require.LessOrEqual(t, float64(r.refused), 0.01*float64(r.requests), "the other servers have room")
+		f.expectServed(0.99)
 	})
 }
 
@@ -200,7 +198,7 @@
 		r := f.takeResult()
 		require.Greater(t, float64(r.urgentServed), 0.9*float64(r.urgent), "they are fewer than the servers accept")
 		require.Greater(t, float64(r.served), 0.9*rate*seconds*float64(len(f.servers)))
-		require.Less(t, float64(r.lateRefusals), 0.03*float64(r.refused))
+		require.Less(t, float64(r.lateRefusals), 0.01*float64(r.refused))
 	})
 }
 
