An entry that joins begins without a token for limited servers

What callers saw: nothing. An entry that learned of an old limit with its first catalog took it for new and began with part of a token, though the entry whose share it took over might just have used its own. It now begins in debt, as after a change of rank; only an entry that the server itself has told of a new limit begins with a part of a token.

--- a/dispatcher/limit.go
+++ b/dispatcher/limit.go
@@ -81,8 +81,9 @@
 	return share
 }
 
-// updateShare applies a changed limit or position. When the limit is new, nobody has used a token yet. An entry that gets a
-// share later begins in debt, since the others may just have used theirs.
+// updateShare applies a changed limit or position. When the server has just told this entry of a new limit, it may use a part
+// of its first token. An entry that gets a share in another way begins in debt, since the others may just have used theirs:
+// after a change of its position, or when it learns of the limit from others, as it does when it joins.
 func (l *serverLimit) updateShare(now time.Time, position entryPosition, newLimit bool) {
 	l.bucket.refill(now, l.share)
 	var share limitShare
@@ -176,7 +177,7 @@
 	if l.RequestLimit == previous {
 		return false
 	}
-	l.updateShare(now, c.position, !previous.Limited)
+	l.updateShare(now, c.position, !previous.Limited && !l.shared)
 	l.changedAt, l.requests, l.probes = now, 0, 0
 	return true
 }
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -307,6 +307,23 @@
 	require.False(t, endsAfter(c, 2*time.Minute), "the control host has learned of it again")
 }
 
+// Guards against an entry that joins and sends at once what the others may just have sent.
+func TestEntryThatJoinsStartsWithoutToken(t *testing.T) {
+	record := newRecord("x", "a", "v1")
+	record.Limit = &cataloger.LimitReport{RequestLimit: sycamorevane.RequestLimit{Limited: true, Rate: 5}}
+	record.LimitStatedAt = start
+	for rank := range 5 {
+		joined, told := newTestCore(record), newTestCore(record)
+		position := entryPosition{rank: rank, entries: 5}
+		joined.setPosition(start, position)
+		joined.adoptLimit(start, &record)
+		require.LessOrEqual(t, joined.limits["x"].bucket.tokens, 0.0)
+		told.setPosition(start, position)
+		told.applyLimit(start, "x", &sycamorevane.LimitStatement{RequestLimit: record.Limit.RequestLimit, RequestedAt: start})
+		require.GreaterOrEqual(t, told.limits["x"].bucket.tokens, 0.0, "the limit is new")
+	}
+}
+
 // Guards against a crash, and against a hedge that waits, when only a limited server and one that is leaving are left.
 func TestHedgeBesideALimitedAndALeavingServer(t *testing.T) {
 	x, y := newRecord("x", "a", "v1"), newRecord("y", "a", "v1")
