--- a/forwarder/directive.go
+++ b/forwarder/directive.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"sycamorevane.example/sycamorevane"
 )
 
@@ -18,7 +20,10 @@
 	if f.cfg.OnDirective == nil {
 		return
 	}
-	directive := f.dialect.directive(s, resp)
+	directive, err := f.dialect.directive(s, resp)
+	if err != nil {
+		f.sampler.Info(time.Now(), "request limit of a server could not be read", "server", s.ID, "reason", err.Error())
+	}
 	if directive.Limit != nil {
 		directive.Limit.RequestedAt = requestedAt
 	}
@@ -27,13 +32,14 @@
 	}
 }
 
-// directive reads what the server requests. Responses of another server that now has the address are ignored.
-func (d *Dialect) directive(s *sycamorevane.Server, resp *http.Response) sycamorevane.ServerDirective {
+// directive reads what the server requests. Responses of another server that now has the address are ignored. An error means
+// that the limit could not be read; the rest of the directive is valid.
+func (d *Dialect) directive(s *sycamorevane.Server, resp *http.Response) (sycamorevane.ServerDirective, error) {
 	if d.ExpectInstance != "" && resp.StatusCode == http.StatusMisdirectedRequest {
-		return sycamorevane.ServerDirective{}
+		return sycamorevane.ServerDirective{}, nil
 	}
 	if name := resp.Header.Get(d.Instance); d.Instance != "" && name != "" && name != s.InstanceName {
-		return sycamorevane.ServerDirective{}
+		return sycamorevane.ServerDirective{}, nil
 	}
 	var directive sycamorevane.ServerDirective
 	if d.Leaving != "" {
@@ -42,28 +48,32 @@
 	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
 		directive.Pause = parsePause(resp.Header)
 	}
-	directive.Limit = d.limitStatement(resp.Header)
-	return directive
+	var err error
+	directive.Limit, err = d.limitStatement(resp.Header)
+	return directive, err
 }
 
 // limitStatement reads the request limit of the server. A response without a limit states that there is none only if it
-// has the proof that the server has written the header.
-func (d *Dialect) limitStatement(h http.Header) *sycamorevane.LimitStatement {
+// has the proof that the server has written the header. One that cannot be read states nothing.
+func (d *Dialect) limitStatement(h http.Header) (*sycamorevane.LimitStatement, error) {
 	if d.Limit == "" {
-		return nil
+		return nil, nil
 	}
 	value := strings.TrimSpace(h.Get(d.Limit))
 	if value == "" {
 		if d.Proof == "" || h.Get(d.Proof) == "" {
-			return nil
+			return nil, nil
 		}
-		return &sycamorevane.LimitStatement{}
+		return &sycamorevane.LimitStatement{}, nil
 	}
 	rate, err := strconv.ParseFloat(value, 64)
-	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-		return nil
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return nil, errors.Errorf("request limit %q is not a rate", value)
 	}
-	return &sycamorevane.LimitStatement{RequestLimit: sycamorevane.RequestLimit{Limited: true, Rate: rate}}
+	return &sycamorevane.LimitStatement{RequestLimit: sycamorevane.RequestLimit{Limited: true, Rate: rate}}, nil
 }
 
 // parsePause parses Retry-After: seconds with an optional fraction, or a date, which is relative to the Date of the
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -32,8 +32,13 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			d := Dialect{Limit: "X-Limit", Proof: "X-Proof"}
-			require.Equal(t, c.want, d.limitStatement(c.header))
+			got, err := d.limitStatement(c.header)
+			require.Equal(t, c.want, got)
+			unreadable := c.want == nil && c.header.Get("X-Limit") != ""
+			require.Equal(t, unreadable, err != nil, "it is logged")
 		})
 	}
-	require.Nil(t, (&Dialect{}).limitStatement(http.Header{"X-Limit": {"1"}}), "servers do not send it")
+	got, err := (&Dialect{}).limitStatement(http.Header{"X-Limit": {"1"}})
+	require.NoError(t, err)
+	require.Nil(t, got, "servers do not send it")
 }
