--- a/dispatcher/limit_wait.go
+++ b/dispatcher/limit_wait.go
@@ -7,6 +7,10 @@
 	"sycamorevane.example/sycamorevane"
 )
 
+// moreUrgentDeviations is by how many standard deviations the more urgent requests that arrive during a wait may exceed their
+// expected number. A request that waits and then gives way to more of them is refused late.
+const moreUrgentDeviations = 2
+
 // limitWait describes when the limited servers that could take a request accept the next ones of this entry.
 type limitWait struct {
 	// limits holds the limits of which this entry has a share, share their sum.
@@ -119,7 +123,7 @@
 	latest := w.latestStart.Add(-queueRetryInterval)
 	moreUrgent := d.core.pool(w.req.Service).moreUrgentRate(now, w.req.Priority) * max(0, latest.Sub(now).Seconds())
 	// The standard deviation of the number of independent arrivals is its square root.
-	if float64(got.limit.startsBy(now, latest)) >= float64(before+1)+moreUrgent+math.Sqrt(moreUrgent) {
+	if float64(got.limit.startsBy(now, latest)) >= float64(before+1)+moreUrgent+moreUrgentDeviations*math.Sqrt(moreUrgent) {
 		return nil
 	}
 	at := got.limit.startAt(now, before)
