--- a/parser/discovery.go
+++ b/parser/discovery.go
@@ -63,24 +63,44 @@
 type DiscoveryBounds struct {
 	// HeartbeatInterval is the interval at which servers report.
 	HeartbeatInterval time.Duration
-	// GracePeriod is the time between the stop signal and the forced end of a process.
+	// GracePeriod is the time between the stop signal and the forced end of a process; defaultGracePeriod if not set.
 	GracePeriod time.Duration
 	// DrainTime is the time after which a server that has announced its shutdown gets no new requests; 0 if the deployment
 	// sets no limit.
 	DrainTime time.Duration
-	// DirectoryTTL is how long callers may cache a response of the directory.
+	// DirectoryTTL is how long callers may cache a response of the directory; defaultDirectoryTTL if not set.
 	DirectoryTTL time.Duration
 	// RetryRatio and RetrySlack limit the retries of all entries together within a period of some seconds: RetryRatio as
-	// a fraction of all requests, plus RetrySlack retries.
+	// a fraction of all requests, plus RetrySlack retries; defaultRetryRatio and 0 if not set.
 	RetryRatio float64
 	RetrySlack float64
-	// ColdFactor and ColdSlack limit the requests per second that all entries together send to a cold server.
+	// ColdFactor and ColdSlack limit the requests per second that all entries together send to a cold server;
+	// defaultColdFactor and 0 if not set.
 	ColdFactor float64
 	ColdSlack  float64
-	// MaxTrialShare is the largest fraction of a service's requests that a bad version may receive.
+	// MaxTrialShare is the largest fraction of a service's requests that a bad version may receive; defaultMaxTrialShare
+	// if not set.
 	MaxTrialShare float64
 }
 
+// Defaults of the bounds that a deployment may lack because it does not use the feature that they limit.
+const (
+	defaultGracePeriod  = 6 * time.Second
+	defaultDirectoryTTL = 2 * time.Second
+	// defaultRetryRatio keeps a brownout from being amplified by retries.
+	defaultRetryRatio = 0.1
+	// defaultColdFactor keeps a cold server at the rate that it states.
+	defaultColdFactor    = 1
+	defaultMaxTrialShare = 0.05
+)
+
+func defaultBounds() DiscoveryBounds {
+	return DiscoveryBounds{
+		GracePeriod: defaultGracePeriod, DirectoryTTL: defaultDirectoryTTL, RetryRatio: defaultRetryRatio,
+		ColdFactor: defaultColdFactor, MaxTrialShare: defaultMaxTrialShare,
+	}
+}
+
 // LoadDiscovery reads and validates a settings file of a deployment with discovery. Errors are Faults.
 func LoadDiscovery(file string) (*DiscoverySettings, error) {
 	data, err := os.ReadFile(file)
@@ -97,7 +117,7 @@
 	if f == nil {
 		return nil, r.faultsError()
 	}
-	s := &DiscoverySettings{}
+	s := &DiscoverySettings{Bounds: defaultBounds()}
 	seen := sycamorevane.NewSet[string]()
 	for _, section := range f.Sections() {
 		if section.Name() != "DEFAULT" && seen.Has(section.Name()) {
@@ -156,14 +176,14 @@
 func boundFields(b *DiscoveryBounds) []field {
 	return []field{
 		{"heartbeat", true, millisecondsParser(&b.HeartbeatInterval)},
-		{"grace", true, secondsParser(&b.GracePeriod)},
+		{"grace", false, secondsParser(&b.GracePeriod)},
 		{"drain", false, millisecondsParser(&b.DrainTime)},
-		{"ttl", true, secondsParser(&b.DirectoryTTL)},
-		{"retryshare", true, nonNegativeParser(&b.RetryRatio)},
-		{"retryslack", true, nonNegativeParser(&b.RetrySlack)},
-		{"coldfactor", true, nonNegativeParser(&b.ColdFactor)},
-		{"coldslack", true, nonNegativeParser(&b.ColdSlack)},
-		{"trialshare", true, nonNegativeParser(&b.MaxTrialShare)},
+		{"ttl", false, secondsParser(&b.DirectoryTTL)},
+		{"retryshare", false, nonNegativeParser(&b.RetryRatio)},
+		{"retryslack", false, nonNegativeParser(&b.RetrySlack)},
+		{"coldfactor", false, nonNegativeParser(&b.ColdFactor)},
+		{"coldslack", false, nonNegativeParser(&b.ColdSlack)},
+		{"trialshare", false, nonNegativeParser(&b.MaxTrialShare)},
 	}
 }
 
