Configuration: workspaces with API keys and public routes

Cause: deployments need tenants that identify themselves with API keys (docs/design/hard-load.md, section 2).

Numbered configurations with a repeated or empty key or name, a negative priority or a name that no header can carry are refused; neither the refusal nor a decoding error contains a value. Both fields are omitted when unset, so that states without workspaces have the same bytes as before (parser/testdata/config.json is unchanged).

Tests: go test ./platform ./applier ./publisher ./parser ./administrator ./commander

--- a/applier/configure.go
+++ b/applier/configure.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 
+	"golang.org/x/net/http/httpguts"
+
 	"sycamorevane.example/sycamorevane"
 )
 
@@ -52,6 +54,39 @@
 		}
 		usedPaths.Add(path)
 	}
+	return checkWorkspaces(cfg.Workspaces)
+}
+
+// emptyKeyDigest is the digest that an empty key has in Workspace.Credentials.
+var emptyKeyDigest = sycamorevane.CredentialDigest("")
+
+// checkWorkspaces returns why workspaces are invalid, or "". The reason contains neither keys nor their digests, since it
+// appears in responses, the log and the audit trail. A key may be repeated within a workspace.
+func checkWorkspaces(workspaces []sycamorevane.Workspace) string {
+	if reason := checkNames("workspace", workspaces, func(w sycamorevane.Workspace) string { return w.Name }); reason != "" {
+		return reason
+	}
+	owners := make(map[string]string)
+	for i := range workspaces {
+		w := &workspaces[i]
+		// The name is sent to servers in a header, whose surrounding spaces receivers remove.
+		if !httpguts.ValidHeaderFieldValue(w.Name) || strings.TrimSpace(w.Name) != w.Name {
+			return fmt.Sprintf("workspace %q has a name that cannot be sent in a header", w.Name)
+		}
+		if w.Priority != nil && *w.Priority < 0 {
+			return fmt.Sprintf("workspace %q has a negative priority", w.Name)
+		}
+		for _, digest := range w.Credentials {
+			owner, used := owners[digest]
+			switch {
+			case digest == emptyKeyDigest:
+				return fmt.Sprintf("workspace %q has an empty key", w.Name)
+			case used && owner != w.Name:
+				return fmt.Sprintf("workspaces %q and %q have the same key", owner, w.Name)
+			}
+			owners[digest] = w.Name
+		}
+	}
 	return ""
 }
 
--- a/parser/golden_test.go
+++ b/parser/golden_test.go
@@ -38,7 +38,7 @@
 	full.Services[0].Routes = full.Services[0].Routes[:1]
 	require.Equal(t, []string{
 		"Config.Services[0].HedgeRatio", "Config.Services[0].HealthPath", "Config.Services[0].MaxConns", "Config.Services[0].ColdPeriod",
-		"Config.Services[0].ColdRate", "Config.Limits.HeaderTimeout", "Config.Limits.IdleTimeout", "Config.SequenceNumber", "Config.Rules",
+		"Config.Services[0].ColdRate", "Config.Workspaces[0].Priority", "Config.Limits.HeaderTimeout", "Config.Limits.IdleTimeout", "Config.SequenceNumber", "Config.Rules",
 		"Config.Document",
 	}, goldentester.ZeroFields(full))
 }
--- a/types.go
+++ b/types.go
@@ -3,6 +3,8 @@
 package sycamorevane
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 	"time"
 )
@@ -243,8 +245,17 @@
 	Name string
 	// Weight is the share of the capacity relative to other workspaces; at least 1.
 	Weight int
-	// Credentials are the hex SHA-256 digests of bearer tokens that identify the workspace.
+	// Credentials are the hex SHA-256 digests of the bearer tokens or API keys that identify the workspace.
 	Credentials []string
+	// Priority is the rank of the requests of the workspace; 0 is the most urgent. It takes precedence over Rule.Priority;
+	// nil means that the rule decides.
+	Priority *int `json:",omitempty"`
+}
+
+// CredentialDigest returns the digest of a bearer token or an API key as held in Workspace.Credentials.
+func CredentialDigest(credential string) string {
+	sum := sha256.Sum256([]byte(credential))
+	return hex.EncodeToString(sum[:])
 }
 
 // Route overrides the defaults of its service for matching requests.
@@ -320,6 +331,8 @@
 	Priority int
 	// MaxAttempts bounds the number of servers that a request is sent to; 0 means the default.
 	MaxAttempts int `json:"Attempts"`
+	// Public is set when requests need no API key. Without workspaces in the configuration no request needs one.
+	Public bool `json:",omitempty"`
 	// Destinations are the services that receive the requests; at least one has a positive weight.
 	Destinations []Destination `json:"Parts"`
 }
