Forwarder: API keys select the workspace of a request

Cause: a configuration with workspaces admits only requests with a valid key, also on open connections.

Change: Dialect.Key names the header of the key. With workspaces configured, a request to a rule that is not public needs a known key, else it gets 401; neither the key nor the caller's workspace header is forwarded; the workspace's priority goes before the rule's. The key is looked up when the handling of a request starts and again before each attempt, so that a request admitted earlier does not start on a server after its key was revoked. Requests without a valid key take no turn of weighted destinations. Without workspaces, both headers are forwarded as before.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -186,9 +186,7 @@
 	req := sycamorevane.Request{
 		Service: c.svc.Name, Workspace: c.workspace, Route: c.route.Name, Method: c.r.Method,
 		Idempotent: !c.atMostOnce, Deadline: deadline, ExcludedServers: excludedServers, SoftDeadline: c.softDeadline(),
-	}
-	if c.rule != nil {
-		req.Priority = c.rule.Priority
+		Priority: c.priority,
 	}
 	grant, err := c.acquire(ctx, req, hedge)
 	if err != nil {
@@ -197,6 +195,13 @@
 		}
 		return &result{notAttempted: err}
 	}
+	if err := c.checkCredential(); err != nil {
+		c.f.cfg.Limiter.Release(grant, sycamorevane.Outcome{Kind: sycamorevane.OutcomeCancelled, Route: c.route.Name})
+		if permit != nil {
+			permit.Done()
+		}
+		return &result{notAttempted: err}
+	}
 	if !hedge {
 		c.acquiredAt = time.Now()
 	}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -54,7 +54,11 @@
 	// ruleState is the state kept for the rule; nil without a rule.
 	ruleState *ruleState
 	workspace string
-	key       string
+	// credential is the digest of the API key that selected the workspace; empty when none did.
+	credential string
+	// priority is the rank of the request; 0 is the most urgent.
+	priority int
+	key      string
 	// atMostOnce is set when the request must not run twice: it has an idempotency key or its route is not idempotent.
 	atMostOnce bool
 	// streamingAttempt is the attempt whose response is being forwarded.
@@ -175,7 +179,7 @@
 
 // hasRepeatedHeader reports whether a header that must have a single value occurs more than once.
 func (c *call) hasRepeatedHeader() bool {
-	for _, name := range []string{c.f.dialect.IdempotencyKey, c.f.dialect.Timeout, c.f.dialect.Workspace} {
+	for _, name := range []string{c.f.dialect.IdempotencyKey, c.f.dialect.Timeout, c.f.dialect.callerWorkspace()} {
 		if name != "" && len(c.r.Header[name]) > 1 {
 			return true
 		}
@@ -203,22 +207,32 @@
 
 // resolve selects the service, the route and the workspace of the request.
 func (c *call) resolve() error {
+	if c.rule = c.index.findRule(c.r.Host, c.r.URL.EscapedPath()); c.rule != nil {
+		c.priority = c.rule.Priority
+	}
+	// Requests without a valid key must not use up turns of the weighted destinations.
+	if err := c.authenticate(); err != nil {
+		return err
+	}
 	c.selectService()
 	if c.svc == nil {
 		return &statusError{http.StatusNotFound, "no service has this host or path"}
 	}
 	c.serviceState = c.f.serviceState(c.svc.Name)
 	c.serviceState.tailLatency.setTailRatio(c.svc.HedgeRatio)
-	workspace, byCredential, ok := c.index.workspace(c.r.Header, c.f.dialect.Workspace)
-	if !ok {
-		return &statusError{http.StatusForbidden, "firm is unknown or needs its credential"}
+	byCredential := false
+	if !c.index.requiresKeys(&c.f.dialect) {
+		workspace, authenticated, ok := c.index.workspace(c.r.Header, c.f.dialect.callerWorkspace())
+		if !ok {
+			return &statusError{http.StatusForbidden, "firm is unknown or needs its credential"}
+		}
+		c.workspace, byCredential = workspace, authenticated
 	}
-	c.workspace = workspace
 	if c.f.dialect.IdempotencyKey != "" {
 		c.key = c.r.Header.Get(c.f.dialect.IdempotencyKey)
 	}
 	c.atMostOnce = c.key != "" || !c.route.Idempotent
-	c.header = c.f.serverHeader(c.r.Header, workspace, c.key, byCredential)
+	c.header = c.f.serverHeader(c.index, c.r.Header, c.workspace, c.key, byCredential)
 	if c.svc.MaxBodyBytes > 0 && c.r.ContentLength > c.svc.MaxBodyBytes {
 		return &statusError{http.StatusRequestEntityTooLarge, fmt.Sprintf("body is above %d bytes", c.svc.MaxBodyBytes)}
 	}
@@ -227,8 +241,7 @@
 
 // selectService selects the service by the rules, else by the hosts and prefixes of the services themselves.
 func (c *call) selectService() {
-	path := c.r.URL.EscapedPath()
-	if c.rule = c.index.findRule(c.r.Host, path); c.rule != nil {
+	if c.rule != nil {
 		c.ruleState = c.index.ruleStates[c.rule]
 		c.svc = c.index.servicesByName[c.ruleState.roundRobin.next(c.rule.Destinations)]
 		c.route = sycamorevane.Route{Name: c.rule.Name, Prefix: c.rule.Prefix, Idempotent: c.rule.Idempotent}
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -33,6 +33,10 @@
 	// Workspace and IdempotencyKey hold the workspace and the idempotency key; empty when callers do not send them.
 	Workspace      string
 	IdempotencyKey string
+	// Key holds an API key, which selects the workspace of a request if the configuration contains workspaces. Workspace is
+	// then sent only to servers. Without workspaces, both headers are forwarded as any other. Empty when callers do not send
+	// API keys.
+	Key string
 	// Proof is present in every successful response of a server; empty when servers do not send it. A response without it
 	// is not forwarded as a success.
 	Proof string
@@ -69,10 +73,18 @@
 	}
 }
 
+// callerWorkspace is the header by which callers name their workspace; empty when they do not.
+func (d *Dialect) callerWorkspace() string {
+	if d.Key != "" {
+		return ""
+	}
+	return d.Workspace
+}
+
 // internalHeaders lists the headers that the load balancer sets itself. The values that callers send are dropped.
 func (d *Dialect) internalHeaders() []string {
 	names := []string{"Content-Length", "Expect"}
-	for _, name := range []string{d.RequestID, d.Timeout, d.NotRun, d.Workspace, d.ExpectInstance} {
+	for _, name := range []string{d.RequestID, d.Timeout, d.NotRun, d.callerWorkspace(), d.ExpectInstance} {
 		if name != "" {
 			names = append(names, name)
 		}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -121,7 +121,7 @@
 
 // metrics are the metrics of a Forwarder.
 type metrics struct {
-	calls, refused, uncertain, retries, hedges, panics, truncated, mismatched, malformed tally.Counter
+	calls, refused, uncertain, retries, hedges, panics, truncated, mismatched, malformed, unauthorized tally.Counter
 	// latency is the time from the arrival of a request to the end of its handling.
 	latency tally.Histogram
 }
@@ -161,7 +161,7 @@
 		calls: m.Counter("calls"), refused: m.Counter("refused"), uncertain: m.Counter("uncertain"),
 		retries: m.Counter("retries"), hedges: m.Counter("hedges"), panics: m.Counter("panics"),
 		truncated: m.Counter("truncated"), mismatched: m.Counter("mismatched"),
-		malformed: m.Counter("malformed"),
+		malformed: m.Counter("malformed"), unauthorized: m.Counter("unauthorized"),
 		latency:   m.Histogram("latency", latencyBuckets),
 	}
 	f.sampler = recorder.NewSampler(cfg.Log)
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -13,8 +13,8 @@
 }
 
 // serverHeader returns the header of the request to a server. If a credential selected the workspace, it is not
-// forwarded.
-func (f *Forwarder) serverHeader(in http.Header, workspace, key string, byCredential bool) http.Header {
+// forwarded. If requests carry API keys, neither the key nor the workspace header of the caller is ever forwarded.
+func (f *Forwarder) serverHeader(x *index, in http.Header, workspace, key string, byCredential bool) http.Header {
 	out := make(http.Header, len(in)+4)
 	for name, values := range in {
 		out[name] = values
@@ -23,7 +23,10 @@
 	for _, name := range f.internalHeaders {
 		delete(out, name)
 	}
-	if byCredential {
+	if x.requiresKeys(&f.dialect) {
+		delete(out, f.dialect.Key)
+		delete(out, f.dialect.Workspace)
+	} else if byCredential {
 		delete(out, "Authorization")
 	}
 	if workspace != "" {
--- a/forwarder/index.go
+++ b/forwarder/index.go
@@ -1,8 +1,6 @@
 package forwarder
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"slices"
@@ -37,8 +35,11 @@
 	if x := f.index.Load(); x != nil && x.state == s {
 		return x
 	}
-	x := newIndex(s, f.index.Load())
-	f.index.Store(x)
+	prev := f.index.Load()
+	x := newIndex(s, prev)
+	if f.index.CompareAndSwap(prev, x) {
+		f.logCredentials(x, prev)
+	}
 	return x
 }
 
@@ -174,6 +175,5 @@
 	if len(x.workspacesByDigest) == 0 || len(auth) <= len(scheme) || !strings.EqualFold(auth[:len(scheme)], scheme) {
 		return nil
 	}
-	sum := sha256.Sum256([]byte(strings.TrimSpace(auth[len(scheme):])))
-	return x.workspacesByDigest[hex.EncodeToString(sum[:])]
+	return x.workspacesByDigest[sycamorevane.CredentialDigest(strings.TrimSpace(auth[len(scheme):]))]
 }
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -59,6 +59,9 @@
 		h.Set(headerAttempts, strconv.Itoa(c.attempts))
 	}
 	h.Set(c.f.dialect.RequestID, c.requestID())
+	if status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", `ApiKey header="`+c.f.dialect.Key+`"`) // RFC 9110, section 15.5.2, requires a challenge.
+	}
 	if needsRetryAfter(status) {
 		h.Set(headerRetryAfter, c.f.dialect.formatRetryAfter(retryAfter))
 	}
