Dispatcher: serve waiting requests of workspaces in turn

Cause: requests of one priority were served by arrival, so that a workspace with many waiting requests delayed the others, and one that filled the queue of 256 requests kept them out.

Change: with workspaces configured, those of the same priority are served in turn, also by probes for waiting requests, and a request of a workspace with fewer waiting requests displaces one of the largest in a full queue. Without workspaces the order and all refusals are as before.

Tests: go test ./dispatcher; TestTurnsAreFair fails without the comparison of the last turns.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -103,6 +103,7 @@
 	nextReturn time.Time
 	// arrivals holds the rates of the requests by priority.
 	arrivals map[int]*arrivalRate
+	turns    turns
 }
 
 func (p *pool) congestedAt(now time.Time) bool { return now.Sub(p.lastCongested) < congestedPeriod }
--- a/dispatcher/demand_probe.go
+++ b/dispatcher/demand_probe.go
@@ -56,7 +56,12 @@
 	var probes []Probe
 	p := d.core.pool(service)
 	available := probesPerService - p.pendingProbes(v.now)
-	for _, w := range d.queue[service] {
+	waiters := d.queue[service]
+	if v.hasWorkspaces() {
+		waiters = slices.Clone(waiters)
+		p.turns.sort(waiters)
+	}
+	for _, w := range waiters {
 		if available <= 0 {
 			break
 		}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -92,6 +92,8 @@
 	lastNoCapacityLog time.Time
 	paused            tally.Counter
 	refused           tally.Counter
+	// displaced counts waiting requests that were refused to make room for other workspaces.
+	displaced tally.Counter
 	// probesSent counts the probes sent for waiting requests and uploads, lateAnswers the probes of any kind without
 	// an answer in time.
 	probesSent  tally.Counter
@@ -140,7 +142,7 @@
 	return &Dispatcher{
 		cfg: cfg, core: newCore(cfg.DC, cfg.Bounds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		startedAt: time.Now(), queue: make(map[string][]*waiter), undrainedAt: make(map[string]time.Time),
-		timelyShare: 1, paused: m.Counter("paused"), refused: m.Counter("refused"),
+		timelyShare: 1, paused: m.Counter("paused"), refused: m.Counter("refused"), displaced: m.Counter("displaced"),
 		probesSent: m.Counter("questions"), lateAnswers: m.Counter("untimely"),
 		limitedRequests: m.Counter("limited_requests"), limitedProbes: m.Counter("limited_probes"),
 	}
@@ -235,7 +237,7 @@
 	case blocked && queued < maxQueued: // It starts in time.
 	case !got.anyUsable && now.Sub(d.startedAt) > startupPeriod:
 		reason = "no server can take the request"
-	case queued >= maxQueued:
+	case queued >= maxQueued && !d.displace(v, w):
 		reason = "queue is full"
 	case req.Hedge && !got.stale:
 		reason = "a second attempt does not wait for room"
@@ -361,6 +363,9 @@
 	if inTime && !p.allLimited(v) {
 		newestFirst(v.now, candidates)
 	}
+	if v.hasWorkspaces() {
+		p.turns.sort(candidates)
+	}
 	served := sycamorevane.NewSet[uint64]()
 	for _, w := range candidates {
 		got := d.place(v, w)
@@ -383,11 +388,17 @@
 			break
 		}
 		served.Add(w.sequence)
+		if v.hasWorkspaces() {
+			p.turns.recordServed(w.req)
+		}
 		w.result <- placement{grant: d.grant(v, got)}
 	}
 	if len(served) > 0 {
 		d.queue[service] = slices.DeleteFunc(d.queue[service], func(w *waiter) bool { return served.Has(w.sequence) })
 	}
+	if len(d.queue[service]) == 0 {
+		p.turns = turns{} // Without waiting requests there are no turns to keep.
+	}
 	return waiting
 }
 
