--- a/applier/ops.go
+++ b/applier/ops.go
@@ -443,7 +443,11 @@
 	add("host", a.Host)
 	add("with", a.Counterpart)
 	if cfg := a.Config; cfg != nil {
-		data, err := json.Marshal(cfg)
+		hashed := *cfg
+		if len(cfg.Workspaces) > 0 {
+			hashed.Document = nil // It contains keys, and the hash is no cryptographic one.
+		}
+		data, err := json.Marshal(&hashed)
 		if err == nil {
 			add("digest", fmt.Sprintf("%016x", xxhash.Sum64(data)))
 		}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -162,7 +162,7 @@
 		retries: m.Counter("retries"), hedges: m.Counter("hedges"), panics: m.Counter("panics"),
 		truncated: m.Counter("truncated"), mismatched: m.Counter("mismatched"),
 		malformed: m.Counter("malformed"), unauthorized: m.Counter("unauthorized"),
-		latency:   m.Histogram("latency", latencyBuckets),
+		latency: m.Histogram("latency", latencyBuckets),
 	}
 	f.sampler = recorder.NewSampler(cfg.Log)
 	f.pools.init(cfg.DialTimeout)
