Settings of usage reports

Cause: a deployment can require reports of the requests of each workspace to its platform, and gives the limits of these reports in its settings.

Change: the section cloud and six keys of the section bounds, all optional; the template leaves out what has no value. Without them nothing changes.

--- a/parser/discovery.go
+++ b/parser/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"slices"
@@ -40,7 +41,19 @@
 	// MetricsPort is the port that serves /metrics; 0 means that metrics are not served.
 	MetricsPort int
 	Bounds      DiscoveryBounds
-	Debug       bool
+	// Cloud is the platform that the deployment runs on, as far as it is called.
+	Cloud DiscoveryCloud
+	Debug bool
+}
+
+// DiscoveryCloud holds the settings for calls to the platform.
+type DiscoveryCloud struct {
+	// Addr is the host:port that takes the calls; "" for none.
+	Addr string
+	// Duties are the platform's names of what the deployment has to report.
+	Duties []string
+	// DutyRate limits the calls per second of all hosts together; 0 if the deployment sets no limit.
+	DutyRate float64
 }
 
 // DiscoveryEntry holds the settings of the entry role.
@@ -81,8 +94,23 @@
 	// MaxTrialShare is the largest fraction of a service's requests that a bad version may receive; defaultMaxTrialShare
 	// if not set.
 	MaxTrialShare float64
+	// ReportWindow is the length of a window of usage reports; 0 if there are no usage reports.
+	ReportWindow time.Duration
+	// UsageLate is the time after the end of a window by which its report is due; defaultUsageLate if not set.
+	UsageLate time.Duration
+	// UsageTolerance is the permitted relative error of a count; defaultUsageTolerance if not set.
+	UsageTolerance float64
+	// Lease is how long a new holder of the reports waits before it sends; defaultLease if not set. ThawSlack is how long
+	// after a pause of its process a host may still act as the holder; defaultThawSlack if not set.
+	Lease     time.Duration
+	ThawSlack time.Duration
+	// EnforceFencing tells whether the platform rejects calls with a lower token than it has seen. The token is always sent.
+	EnforceFencing bool
 }
 
+// minReportWindow is the shortest window of usage reports.
+const minReportWindow = time.Second
+
 // Defaults of the bounds that a deployment may lack because it does not use the feature that they limit.
 const (
 	defaultGracePeriod  = 6 * time.Second
@@ -92,12 +120,18 @@
 	// defaultColdFactor keeps a cold server at the rate that it states.
 	defaultColdFactor    = 1
 	defaultMaxTrialShare = 0.05
+	// The defaults for usage reports apply only with ReportWindow.
+	defaultUsageLate      = 10 * time.Second
+	defaultUsageTolerance = 0.05
+	defaultLease          = 3 * time.Second
+	defaultThawSlack      = 300 * time.Millisecond
 )
 
 func defaultBounds() DiscoveryBounds {
 	return DiscoveryBounds{
 		GracePeriod: defaultGracePeriod, DirectoryTTL: defaultDirectoryTTL, RetryRatio: defaultRetryRatio,
 		ColdFactor: defaultColdFactor, MaxTrialShare: defaultMaxTrialShare,
+		UsageLate: defaultUsageLate, UsageTolerance: defaultUsageTolerance, Lease: defaultLease, ThawSlack: defaultThawSlack,
 	}
 }
 
@@ -160,10 +194,16 @@
 			})
 		case "bounds":
 			r.decodeSection(section, boundFields(&s.Bounds))
+		case "cloud":
+			r.decodeSection(section, []field{
+				{"address", false, cloudAddrParser(&s.Cloud.Addr)},
+				{"duties", false, listParser(&s.Cloud.Duties)},
+				{"rate", false, nonNegativeParser(&s.Cloud.DutyRate)},
+			})
 		case "log":
 			r.decodeSection(section, []field{{"debug", false, boolParser(&s.Debug)}})
 		default:
-			r.addFault(section.Name(), "", "", "unknown section; known are host, cluster, entry, control, bounds, log")
+			r.addFault(section.Name(), "", "", "unknown section; known are host, cluster, entry, control, bounds, cloud, log")
 		}
 	}
 	r.checkDiscovery(s, seen)
@@ -184,6 +224,12 @@
 		{"coldfactor", false, nonNegativeParser(&b.ColdFactor)},
 		{"coldslack", false, nonNegativeParser(&b.ColdSlack)},
 		{"trialshare", false, nonNegativeParser(&b.MaxTrialShare)},
+		{"usagewindow", false, usageWindowParser(&b.ReportWindow)},
+		{"usagelate", false, secondsParser(&b.UsageLate)},
+		{"usagetolerance", false, nonNegativeParser(&b.UsageTolerance)},
+		{"lease", false, millisecondsParser(&b.Lease)},
+		{"thawslack", false, millisecondsParser(&b.ThawSlack)},
+		{"fencing", false, boolParser(&b.EnforceFencing)},
 	}
 }
 
@@ -263,6 +309,30 @@
 	}
 }
 
+// cloudAddrParser accepts names besides IP addresses, since the platform is not part of the deployment.
+func cloudAddrParser(dst *string) func(string) error {
+	return func(v string) error {
+		if host, port, err := net.SplitHostPort(v); err != nil || host == "" || port == "" {
+			return fmt.Errorf("must be HOST:PORT")
+		}
+		*dst = v
+		return nil
+	}
+}
+
+// usageWindowParser rejects windows that are too short to be counted by cells and reported within a second or two.
+func usageWindowParser(dst *time.Duration) func(string) error {
+	return func(v string) error {
+		if err := secondsParser(dst)(v); err != nil {
+			return err
+		}
+		if *dst < minReportWindow {
+			return fmt.Errorf("must be at least %g", minReportWindow.Seconds())
+		}
+		return nil
+	}
+}
+
 func nonNegativeParser(dst *float64) func(string) error {
 	return func(v string) error {
 		f, err := strconv.ParseFloat(v, 64)
--- a/parser/template_test.go
+++ b/parser/template_test.go
@@ -14,13 +14,14 @@
 
 var (
 	sectionPattern = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}\n?(.*?)\{\{/([a-z_.]+)\}\}\n?`)
+	listPattern    = regexp.MustCompile(`\{\{#([a-z_.]+)\}\}\{\{@\}\}\{\{,\}\}\{\{/[a-z_.]+\}\}`)
 	valuePattern   = regexp.MustCompile(`\{\{([a-z_.]+)\}\}`)
 )
 
 // renderTemplate fills in the parts of the template language that deploy/host.ini uses: values, and sections that are
 // left out without a value.
 func renderTemplate(template string, values map[string]string) string {
-	out := strings.ReplaceAll(template, "{{#zones}}{{@}}{{,}}{{/zones}}", values["zones"])
+	out := listPattern.ReplaceAllStringFunc(template, func(list string) string { return values[listPattern.FindStringSubmatch(list)[1]] })
 	out = sectionPattern.ReplaceAllStringFunc(out, func(section string) string {
 		m := sectionPattern.FindStringSubmatch(section)
 		prefix := m[1] + "."
@@ -39,6 +40,9 @@
 		"data_dir": "/data/my-core", "listen.control": "10.1.0.21:8382", "listen.directory": "10.1.0.21:8383", "heartbeat_interval_ms": "1500",
 		"bounds.grace_period_s": "7", "bounds.drain_ms": "2000", "bounds.ttl_max_s": "5", "bounds.retry_budget_ratio": "0.2",
 		"bounds.budget_slack": "162", "bounds.cold_burst_factor": "1.5", "bounds.cold_slack": "8", "bounds.expose_share": "0.1",
+		"bounds.report_window_s": "5", "bounds.usage_late_s": "9", "bounds.usage_tolerance": "0.06", "bounds.lease_ms": "2500",
+		"bounds.thaw_slack_ms": "250", "bounds.enforce_fencing": "true",
+		"cloud.address": "10.1.0.9:8500", "cloud.duties": "usage_reporting,other", "cloud.duty_per_s": "2.5",
 	}
 }
 
@@ -64,6 +68,27 @@
 	}
 }
 
+// Guards against a process that does not start, or reports usage, in a deployment that gives no or only some settings for it.
+func TestTemplateWithoutUsageReports(t *testing.T) {
+	template, err := os.ReadFile("../deploy/host.ini")
+	require.NoError(t, err)
+	values := templateValues()
+	s, err := ParseDiscovery("host.ini", []byte(renderTemplate(string(template), values)))
+	require.NoError(t, err)
+	require.Equal(t, DiscoveryCloud{Addr: "10.1.0.9:8500", Duties: []string{"usage_reporting", "other"}, DutyRate: 2.5}, s.Cloud)
+	for _, key := range []string{"cloud.duties", "cloud.address", "cloud.duty_per_s"} {
+		partial := maps.Clone(values)
+		delete(partial, key)
+		without, err := ParseDiscovery("host.ini", []byte(renderTemplate(string(template), partial)))
+		require.NoError(t, err, key)
+		require.NotEqual(t, s.Cloud, without.Cloud, key)
+		delete(values, key)
+	}
+	s, err = ParseDiscovery("host.ini", []byte(renderTemplate(string(template), values)))
+	require.NoError(t, err)
+	require.Equal(t, DiscoveryCloud{}, s.Cloud)
+}
+
 // Guards against an error that does not say which required key is missing.
 func TestTemplateWithoutHeartbeat(t *testing.T) {
 	template, err := os.ReadFile("../deploy/host.ini")
