Replicated command for the counts of usage windows

Cause: two different counts must never be reported for one window, whichever host reports it, so the counts are committed before they are sent.

Change: the command usage records windows by ascending number and which of them were delivered.

Tested: go test ./applier.

--- a/applier/command.go
+++ b/applier/command.go
@@ -40,6 +40,8 @@
 	OpLeave = "leave"
 	// OpServe records the version that handles a service's requests outside of rollouts; operators cannot send it.
 	OpServe = "serve"
+	// OpUsage records the counts of usage windows and the delivery of their reports; operators cannot send it.
+	OpUsage = "usage"
 )
 
 // Command is one command in the log.
@@ -91,6 +93,8 @@
 	Versions map[string]int `json:"versions,omitempty"`
 	// MinEvidenceTime is the least time in which a rollout can collect its evidence at the current request rate; ms.
 	MinEvidenceTime int64 `json:"shortest,omitempty"`
+
+	Usage *UsageChange `json:"usage,omitempty"`
 }
 
 // Capacity is the number of slots of one service in one data centre, drained or not.
@@ -214,5 +218,5 @@
 }
 
 func isInternalOp(op string) bool {
-	return op == OpStep || op == OpForget || op == OpServe || op == OpLeave
+	return op == OpStep || op == OpForget || op == OpServe || op == OpLeave || op == OpUsage
 }
--- a/applier/golden_test.go
+++ b/applier/golden_test.go
@@ -19,6 +19,8 @@
 	m.state.Store(&st)
 	m.index, m.actor, m.changedAt = 9001, "alice", 1700000000123
 	m.targets = goldentester.Fill[map[string]Target]()
+	usage := goldentester.Fill[UsageState]()
+	m.usage.Store(&usage)
 	for i := range 2 {
 		r := goldentester.Fill[Record]()
 		require.Empty(t, goldentester.ZeroFields(r))
@@ -43,6 +45,7 @@
 	read := New()
 	require.NoError(t, read.Restore(stored))
 	require.Equal(t, m.State(), read.State())
+	require.Equal(t, m.Usage(), read.Usage())
 	require.Equal(t, []any{m.index, m.actor, m.changedAt, m.targets}, []any{read.index, read.actor, read.changedAt, read.targets})
 	require.Equal(t, m.trail, read.trail)
 }
--- a/applier/machine.go
+++ b/applier/machine.go
@@ -17,6 +17,7 @@
 // are safe for concurrent use.
 type Machine struct {
 	state atomic.Pointer[sycamorevane.State]
+	usage atomic.Pointer[UsageState]
 
 	mu sync.RWMutex
 	// index is the index of the last applied log entry.
@@ -37,6 +38,7 @@
 func New() *Machine {
 	m := &Machine{targets: map[string]Target{}, trail: newAuditTrail(), indexChanged: make(chan struct{})}
 	m.state.Store(emptyState())
+	m.usage.Store(&UsageState{})
 	return m
 }
 
@@ -140,12 +142,12 @@
 }
 
 // isAudited reports whether a command is recorded in the audit trail. Steps that change only the share of a rollout are
-// not, because a rollout has many of them. Neither are forget and leave commands.
+// not, because a rollout has many of them. Neither are forget, leave and usage commands.
 func isAudited(c Command, decided decision) bool {
 	switch c.Op {
 	case OpStep:
 		return decided.result == ResultApplied && c.Args.Step.Phase != c.Args.Step.FromPhase
-	case OpForget, OpLeave:
+	case OpForget, OpLeave, OpUsage:
 		return false
 	case OpServe:
 		return decided.result == ResultApplied
--- a/applier/ops.go
+++ b/applier/ops.go
@@ -69,6 +69,8 @@
 		return configure(s, c)
 	case OpLeave:
 		return leave(s, c)
+	case OpUsage:
+		return m.recordUsage(c)
 	}
 	return refuse("unknown op %q", c.Op)
 }
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -20,6 +20,8 @@
 	Actor     string              `json:"by"`
 	ChangedAt int64               `json:"at"`
 	Targets   map[string]Target   `json:"targets"`
+	// Usage is nil while no window has counts.
+	Usage *UsageState `json:"usage,omitempty"`
 	// NextSeq is the Seq of the next record. The records are in ascending order of Seq and end at NextSeq-1.
 	NextSeq uint64 `json:"next"`
 	// Count is the number of records that follow.
@@ -36,8 +38,12 @@
 		return nil, errors.Trace(err)
 	}
 	e := json.NewEncoder(z)
+	usage := m.usage.Load()
+	if usage.Last == 0 {
+		usage = nil
+	}
 	err = e.Encode(snapshotHeader{
-		Format: FormatVersion, Index: m.index, State: m.State(), Actor: m.actor, ChangedAt: m.changedAt, Targets: m.targets,
+		Format: FormatVersion, Index: m.index, State: m.State(), Actor: m.actor, ChangedAt: m.changedAt, Targets: m.targets, Usage: usage,
 		NextSeq: m.trail.nextSeq, Count: len(m.trail.records),
 	})
 	for seq := m.trail.oldestSeq(); err == nil && seq < m.trail.nextSeq; seq++ {
@@ -77,6 +83,7 @@
 	m.actor = h.Actor
 	m.changedAt = h.ChangedAt
 	m.targets = h.Targets
+	m.usage.Store(h.Usage)
 	m.trail = t
 	m.index = 0
 	m.advance(h.Index)
@@ -97,6 +104,9 @@
 	if h.Targets == nil {
 		h.Targets = map[string]Target{}
 	}
+	if h.Usage == nil {
+		h.Usage = &UsageState{}
+	}
 	// The audit trail holds every record until there are MaxAuditRecords of them, and then always the last
 	// MaxAuditRecords, so the count follows from NextSeq.
 	if h.NextSeq == 0 || uint64(h.Count) != min(h.NextSeq-1, MaxAuditRecords) {
