Hook in the forwarder for attempts that servers began to run

Cause: usage reports count each attempt that a server began to run.

Change: Config.Runs is called when a request has been sent completely, or when a server has responded before, and again when the response states that the request has not run. Counting at the start keeps slow requests in the window in which they began.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -114,6 +114,10 @@
 	requestSentAtNs atomic.Int64
 	// bodyDelayNs is how long the last byte of the body was delayed.
 	bodyDelayNs atomic.Int64
+	// startedRunAt is when the attempt was counted as run; zero before. answered is set when the server has sent a response
+	// that does not state that the request has not run.
+	startedRunAt time.Time
+	answered     bool
 }
 
 // bodyReader records whether reading from the caller failed, and can delay the last byte.
@@ -390,9 +394,31 @@
 		err = a.conn.w.Flush()
 	}
 	a.requestSentAtNs.Store(time.Now().UnixNano())
+	if err == nil {
+		a.countRun()
+	}
 	return err
 }
 
+// countRun counts the attempt as run. A request that was not sent completely is not counted, since servers begin when they
+// have all of it.
+func (a *attempt) countRun() {
+	if a.c.f.cfg.Runs != nil {
+		a.startedRunAt = time.Now()
+		a.c.f.cfg.Runs.Started(a.c.workspace, a.startedRunAt)
+	}
+}
+
+// correctRunCount corrects the count of countRun when the attempt has ended.
+func (a *attempt) correctRunCount(kind sycamorevane.OutcomeKind) {
+	switch counted := !a.startedRunAt.IsZero(); {
+	case counted && kind == sycamorevane.OutcomeShed:
+		a.c.f.cfg.Runs.Rejected(a.c.workspace, a.startedRunAt)
+	case !counted && a.answered:
+		a.countRun()
+	}
+}
+
 func (a *attempt) readHeader() (*http.Response, error) {
 	for range maxInformational {
 		resp, err := a.conn.readResponse(a.req)
@@ -476,6 +502,7 @@
 	if a.c.f.dialect.saysNotRun(resp) {
 		return a.readNotRun(resp)
 	}
+	a.answered = true
 	var err error
 	switch {
 	case hasNoBody(a.req.Method, resp.StatusCode) || resp.ContentLength == 0:
@@ -586,6 +613,7 @@
 	}
 	a.finished = true
 	a.releaseConn(reusable)
+	a.correctRunCount(kind)
 	if a.cancel != nil {
 		a.cancel()
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -47,6 +47,15 @@
 	Done()
 }
 
+// RunCounter counts the requests that servers began to run.
+type RunCounter interface {
+	// Started is called when a request of the workspace has been sent completely and the server may begin to run it, or when
+	// the server has responded before.
+	Started(workspace string, at time.Time)
+	// Rejected takes back a call of Started with the same arguments: the server has not run the request.
+	Rejected(workspace string, at time.Time)
+}
+
 // Config configures a Forwarder.
 type Config struct {
 	// Self is the host name; request IDs contain it.
@@ -95,6 +104,8 @@
 	HedgeAcquireTimeout time.Duration
 	// Observe receives the outcome of each attempt; may be nil.
 	Observe func(service, version, route string, o sycamorevane.Outcome)
+	// Runs may be nil.
+	Runs    RunCounter
 	Log     logr.Logger
 	Metrics tally.Scope
 }
