--- a/runner/discovery.go
+++ b/runner/discovery.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/accountant"
 	"sycamorevane.example/sycamorevane/administrator"
 	"sycamorevane.example/sycamorevane/cataloger"
 	"sycamorevane.example/sycamorevane/forwarder"
@@ -33,6 +34,8 @@
 	Directory(addresses func(dc string) []string, ttl time.Duration) http.Handler
 	// Ready serves the readiness check of the entry.
 	Ready(ready func() bool) http.Handler
+	// UsageSender returns what sends usage reports to the platform, or nil in a deployment without usage reports.
+	UsageSender(s *parser.DiscoverySettings) accountant.Sender
 }
 
 // ControlServices holds what the API of a control host for operators and backend servers is built from.
--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/accountant"
 	"sycamorevane.example/sycamorevane/administrator"
 	"sycamorevane.example/sycamorevane/adopter"
 	"sycamorevane.example/sycamorevane/applier"
@@ -47,13 +48,15 @@
 
 // discoveryControl is the control role of a DiscoveryProcess.
 type discoveryControl struct {
-	p                 *DiscoveryProcess
-	stateMachine      *applier.Machine
-	replicator        *replicator.Replicator
-	publisher         *publisher.Publisher
-	catalog           *cataloger.ControlCatalog
-	administrator     *administrator.Administrator
-	promoter          *promoter.Promoter
+	p             *DiscoveryProcess
+	stateMachine  *applier.Machine
+	replicator    *replicator.Replicator
+	publisher     *publisher.Publisher
+	catalog       *cataloger.ControlCatalog
+	administrator *administrator.Administrator
+	promoter      *promoter.Promoter
+	// accountant is nil in a deployment without usage reports.
+	accountant        *accountant.Accountant
 	directory         *resolver.Directory
 	reads             readCoalescer
 	apiListener       net.Listener
@@ -106,6 +109,7 @@
 		State:    func() sycamorevane.State { return *c.stateMachine.State() },
 		Capacity: c.capacity, Submit: c.submit,
 	})
+	c.accountant = c.newAccountant()
 	if c.apiListener, err = net.Listen("tcp", s.Control.OperatorAddr); err != nil {
 		return nil, errors.Annotate(err, "control listener")
 	}
@@ -134,6 +138,9 @@
 	c.catalog.Start()
 	c.publisher.Start()
 	c.promoter.Start()
+	if c.accountant != nil {
+		c.accountant.Start()
+	}
 	c.p.wg.Go(c.watchState)
 	c.p.wg.Go(c.contactPushLoop)
 	c.p.wg.Go(c.adoptLoop)
@@ -423,6 +430,9 @@
 	for _, s := range c.servers {
 		_ = s.Shutdown(ctx)
 	}
+	if c.accountant != nil {
+		c.accountant.Close()
+	}
 	c.promoter.Close()
 	c.publisher.Close()
 	c.catalog.Close()
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -14,6 +14,7 @@
 
 	"sycamorevane.example/sycamorevane"
 	"sycamorevane.example/sycamorevane/acceptor"
+	"sycamorevane.example/sycamorevane/accountant"
 	"sycamorevane.example/sycamorevane/cataloger"
 	"sycamorevane.example/sycamorevane/dispatcher"
 	"sycamorevane.example/sycamorevane/encoder"
@@ -70,13 +71,15 @@
 	forwarder         *forwarder.Forwarder
 	evidenceCollector *promoter.Collector
 	evidenceReporter  *promoter.Reporter
-	callerListener    net.Listener
-	readyListener     net.Listener
-	callerServer      *acceptor.Server
-	readyServer       *http.Server
-	sampler           *recorder.Sampler
-	rank              atomic.Int64
-	entryCount        atomic.Int64
+	// usageReporter is nil in a deployment without usage reports.
+	usageReporter  *accountant.Reporter
+	callerListener net.Listener
+	readyListener  net.Listener
+	callerServer   *acceptor.Server
+	readyServer    *http.Server
+	sampler        *recorder.Sampler
+	rank           atomic.Int64
+	entryCount     atomic.Int64
 	// rankedAt is when a control host last sent the rank, in ns since the start of this process.
 	rankedAt     atomic.Int64
 	startedAt    time.Time
@@ -99,14 +102,18 @@
 		SendProbe: func(probe dispatcher.Probe) { go e.probe(probe) },
 		Log:       p.cfg.Log, Metrics: p.metrics,
 	})
+	var runs forwarder.RunCounter
+	if reporter, counter := e.newUsageReporter(); reporter != nil {
+		e.usageReporter, runs = reporter, counter
+	}
 	e.forwarder = forwarder.New(forwarder.Config{
 		Self: p.cfg.Settings.Name, Limiter: e.dispatcher, State: e.subscriber.State, Dialect: p.cfg.Adapter.Dialect(),
 		Observe: e.evidenceCollector.Observe, FirstState: e.subscriber.FirstState(), ResponseGrace: responseGrace,
 		ShuttingDown: e.shuttingDown.Load, DialTimeout: serverDialTimeout,
 		EntryCount: func() int { return int(max(1, e.entryCount.Load())) },
 		RetryBurst: e.retryBurst, IsSlow: e.dispatcher.Slow, WaitWhileSlow: e.dispatcher.WaitWhileSlow,
-		OnDirective: e.dispatcher.HandleDirective,
-		LinkMbps:    p.cfg.Settings.LinkMbps, HedgeAcquireTimeout: hedgeAcquireTimeout, Log: p.cfg.Log, Metrics: p.metrics,
+		OnDirective: e.dispatcher.HandleDirective, Runs: runs,
+		LinkMbps: p.cfg.Settings.LinkMbps, HedgeAcquireTimeout: hedgeAcquireTimeout, Log: p.cfg.Log, Metrics: p.metrics,
 	})
 	e.evidenceReporter = promoter.NewReporter(promoter.ReporterConfig{
 		Transport: p.mesh, Collector: e.evidenceCollector, Log: p.cfg.Log, LeaderName: e.subscriber.Leader,
@@ -168,6 +175,9 @@
 func (e *discoveryEntry) start() {
 	e.subscriber.Start()
 	e.evidenceReporter.Start()
+	if e.usageReporter != nil {
+		e.usageReporter.Start()
+	}
 	e.p.wg.Go(e.presenceLoop)
 	e.p.wg.Go(e.probeLoop)
 	e.readyServer = e.p.serveHTTP(e.readyListener, e.p.cfg.Adapter.Ready(e.accepting))
@@ -327,6 +337,9 @@
 	_ = e.readyServer.Close()
 	e.evidenceReporter.Close()
 	e.forwarder.Close()
+	if e.usageReporter != nil {
+		e.usageReporter.Close(ctx)
+	}
 	e.catalog.Close()
 	e.subscriber.Close()
 }
