Entries that were restarted are not waited for

Cause: a window waited until 5.5 s after its end for the counts of a process that had been replaced by a new one on the same host.

Change: the first report of a new process marks the earlier ones of the host as final.

Tested: go test ./accountant ./parser ./applier ./encoder ./runner ./forwarder ./platform; with -race: ./accountant (15 random sequences), the usage tests of ./platform and the run count test of ./forwarder.

--- a/accountant/ledger.go
+++ b/accountant/ledger.go
@@ -67,6 +67,9 @@
 		if l.sources == nil {
 			l.sources = make(map[sourceID]*source)
 		}
+		for old, other := range l.sources {
+			other.final = other.final || old.host == from // A process that has been replaced reports nothing more.
+		}
 		s = &source{cells: make(map[int64]map[string]uint64)}
 		l.sources[id] = s
 	}
