Bound the memory of buffered bodies and detect cut-off responses

Cause: each response of up to 256 KiB was buffered for as long as its caller read it, without a limit over all exchanges. 600 slow readers of 90 to 540 kB held a live heap of 101 MB (Content-Length), 179 MB (chunked) and 160 MB (until close) in an entry whose heap limit is 92 MiB; these figures include 18 MB of the test server. A response that ends with its connection looked complete when the server reset the connection while the response was unread and a write of the upload took the error.

The end of a response without framing counts only if the whole request was written.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -48,6 +48,7 @@
 var (
 	errRequestIDMismatch   = errors.New("answer carries the id of another request")
 	errUndelimitedResponse = errors.New("answer has neither length nor chunks, so that its end cannot be checked")
+	errEndUnknown          = errors.New("answer ended with its connection, on which the request could not be written")
 	errProofMissing        = errors.New("answer does not show that it is the server's own")
 	errProtocol            = errors.New("server switched protocols")
 	errCallerGone          = errors.New("caller disconnected")
@@ -112,6 +113,8 @@
 	// requestSentAtNs is when writing the request ended, in Unix ns; 0 before. The latency of requests with a body is
 	// measured from then.
 	requestSentAtNs atomic.Int64
+	// sendFailed is set when writing the request failed; it is set before requestSentAtNs.
+	sendFailed atomic.Bool
 	// bodyDelayNs is how long the last byte of the body was delayed.
 	bodyDelayNs atomic.Int64
 }
@@ -389,6 +392,7 @@
 	if err == nil {
 		err = a.conn.w.Flush()
 	}
+	a.sendFailed.Store(err != nil)
 	a.requestSentAtNs.Store(time.Now().UnixNano())
 	return err
 }
@@ -479,6 +483,8 @@
 	var err error
 	switch {
 	case hasNoBody(a.req.Method, resp.StatusCode) || resp.ContentLength == 0:
+	case a.mustStream(resp):
+		res.stream = resp.Body
 	case resp.ContentLength > 0 && resp.ContentLength <= maxBufferedBytes:
 		res.body = make([]byte, resp.ContentLength)
 		_, err = io.ReadFull(resp.Body, res.body)
@@ -501,6 +507,38 @@
 	return res
 }
 
+// mustStream reports whether a response that would otherwise be buffered is streamed because too much memory is in use.
+func (a *attempt) mustStream(resp *http.Response) bool {
+	size := resp.ContentLength
+	switch {
+	case size > maxBufferedBytes:
+		return false
+	case size < 0 && !endsWithConnection(resp) && a.c.atMostOnce && a.c.claim == nil:
+		return false // Not buffered in any case; see readBody.
+	case size < 0:
+		size = maxBufferedBytes
+	}
+	if a.c.memory.take(size) {
+		return false
+	}
+	a.c.f.metrics.streamedForMemory.Inc(1)
+	return true
+}
+
+// requestDelivered reports whether the whole request has been written without an error. After a reset, a write error takes
+// the only notice of it that the kernel gives, and reads then see a regular end of the connection.
+func (a *attempt) requestDelivered() bool {
+	return a.requestSentAtNs.Load() != 0 && !a.sendFailed.Load()
+}
+
+// checkEnd returns an error if a response that ends with its connection may have been cut off.
+func (a *attempt) checkEnd(resp *http.Response) error {
+	if endsWithConnection(resp) && !a.requestDelivered() {
+		return errEndUnknown
+	}
+	return nil
+}
+
 // bufferOrStream waits for up to bufferTimeout for the end of a response of unknown length, and leaves it to be streamed
 // if it takes longer.
 func (a *attempt) bufferOrStream(resp *http.Response, res *result) error {
@@ -527,7 +565,7 @@
 	}
 	if len(body) <= maxBufferedBytes {
 		res.body = body
-		return nil
+		return a.checkEnd(resp)
 	}
 	res.stream = io.MultiReader(bytes.NewReader(body), resp.Body)
 	return nil
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -75,6 +75,7 @@
 	// fingerprint is zero until the prefix of the body has been read.
 	fingerprint uint64
 	claim       *sycamorevane.Claim
+	memory      callMemory
 
 	attempts        int
 	excludedServers []string
@@ -325,6 +326,7 @@
 		limit = math.MaxInt64
 	}
 	c.upload = newUpload(c.r, c.rc, limit, c.progressTimeout)
+	c.memory.takeUpload(int64(c.upload.maxBytes))
 	c.upload.readPrefix(c.key != "")
 	if err := c.upload.sourceErr(); err != nil {
 		return c.uploadError(err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -110,6 +110,7 @@
 	lastID      atomic.Uint64
 	index       atomic.Pointer[index]
 	pools       connPools
+	bodyMemory  *bodyMemory
 	// hedges counts running hedges, which may end shortly after the request that started them.
 	hedges sync.WaitGroup
 
@@ -121,7 +122,7 @@
 
 // metrics are the metrics of a Forwarder.
 type metrics struct {
-	calls, refused, uncertain, retries, hedges, panics, truncated, mismatched, malformed tally.Counter
+	calls, refused, uncertain, retries, hedges, panics, truncated, mismatched, malformed, streamedForMemory tally.Counter
 	// latency is the time from the arrival of a request to the end of its handling.
 	latency tally.Histogram
 }
@@ -161,10 +162,11 @@
 		calls: m.Counter("calls"), refused: m.Counter("refused"), uncertain: m.Counter("uncertain"),
 		retries: m.Counter("retries"), hedges: m.Counter("hedges"), panics: m.Counter("panics"),
 		truncated: m.Counter("truncated"), mismatched: m.Counter("mismatched"),
-		malformed: m.Counter("malformed"),
+		malformed: m.Counter("malformed"), streamedForMemory: m.Counter("streamed_for_memory"),
 		latency:   m.Histogram("latency", latencyBuckets),
 	}
 	f.sampler = recorder.NewSampler(cfg.Log)
+	f.bodyMemory = newBodyMemory()
 	f.pools.init(cfg.DialTimeout)
 	return f
 }
@@ -182,7 +184,8 @@
 		f.cfg.EntriesHandler.ServeHTTP(w, r)
 		return
 	}
-	c := &call{f: f, w: w, r: r, startedAt: time.Now(), rc: http.NewResponseController(w)}
+	c := &call{f: f, w: w, r: r, startedAt: time.Now(), rc: http.NewResponseController(w), memory: callMemory{total: f.bodyMemory}}
+	defer c.memory.release()
 	if f.cfg.ShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -244,6 +244,8 @@
 			}
 		}
 		switch {
+		case err == io.EOF && res.attempt.checkEnd(res.resp) != nil:
+			return sycamorevane.OutcomeIncomplete
 		case err == io.EOF:
 			return res.kind
 		case err == nil:
