acceptor: Set the completeness of a request body only once

Cause: a read after the end of a request body wrote bodyComplete again while the connection read it, which the race detector reported for uploads. Change: it is set with the close of bodyDone.

Tested: go test -race ./acceptor ./forwarder; the upload tests in forwarder no longer report the race.

--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -45,8 +45,7 @@
 	}
 	if req.Body == http.NoBody || req.Body == nil {
 		req.Body = http.NoBody
-		x.bodyComplete = true
-		x.markBodyDone()
+		x.markBodyDone(true)
 	} else {
 		req.Body = &requestBody{ReadCloser: req.Body, exchange: x, sendContinue: expectsContinue(req)}
 	}
@@ -76,8 +75,7 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
-		b.exchange.bodyComplete = err == io.EOF
-		b.exchange.markBodyDone()
+		b.exchange.markBodyDone(err == io.EOF)
 	}
 	return n, err
 }
@@ -85,7 +83,13 @@
 // Close does not read the rest of the body. If there is any, the connection ends with the response.
 func (b *requestBody) Close() error { return nil }
 
-func (x *exchange) markBodyDone() { x.bodyDoneOnce.Do(func() { close(x.bodyDone) }) }
+// markBodyDone has an effect only once: a body may be read again after its end.
+func (x *exchange) markBodyDone(complete bool) {
+	x.bodyDoneOnce.Do(func() {
+		x.bodyComplete = complete
+		close(x.bodyDone)
+	})
+}
 
 // awaitBody waits until the request body has been read. It returns false if it was not read completely.
 func (x *exchange) awaitBody() bool {
@@ -116,7 +120,7 @@
 
 func (x *exchange) run() {
 	defer close(x.done)
-	defer x.markBodyDone()
+	defer x.markBodyDone(false)
 	if aborted := x.runHandler(); aborted || x.finishResponse() != nil {
 		x.abort()
 		return
