forwarder: Pace large bodies on narrow links

Cause: in a simulation of links of 2.6 and 5.4 Mbit/s that transmit in order, bodies of 90 to 540 kB raise the p99 of small messages to 188 to 626 ms.

Change: with Config.PaceTransfers, bodies of more than 32 KiB take at most 0.8 of LinkMbps in each direction; links above 100 Mbit/s are not paced. It is off by default. The deadline of a response body is atomic now, since it is changed while another goroutine reads the body; the race detector reported this for chunked responses, without pacing as well.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -312,6 +312,9 @@
 		a.body.beforeLastByte = a.delayLastByte
 	}
 	a.req.Body = a.body
+	if c.f.pacer != nil {
+		a.req.Body = io.NopCloser(c.f.pacer.pace(a.ctx, a.body, c.upload.length, false))
+	}
 	a.req.ContentLength = c.upload.length
 	if c.upload.length < 0 {
 		a.req.TransferEncoding = []string{"chunked"}
@@ -469,7 +472,7 @@
 // readBody reads a short response completely and leaves a long one to be streamed.
 func (a *attempt) readBody(resp *http.Response) *result {
 	a.conn.headerRemaining = -1
-	a.conn.bodyDeadline = a.c.bodyDeadline(a.c.f.cfg.ResponseGrace)
+	a.conn.setBodyDeadline(a.c.bodyDeadline(a.c.f.cfg.ResponseGrace))
 	res := &result{
 		server: a.grant.Server, id: a.id, mayHaveRun: true, resp: resp, kind: sycamorevane.OutcomeOK, latency: a.latency, load: a.load,
 		bodyDelay: time.Duration(a.bodyDelayNs.Load()),
@@ -480,6 +483,9 @@
 	if a.c.f.dialect.saysNotRun(resp) {
 		return a.readNotRun(resp)
 	}
+	if p := a.c.f.pacer; p != nil {
+		resp.Body = io.NopCloser(p.pace(a.ctx, resp.Body, resp.ContentLength, true))
+	}
 	var err error
 	switch {
 	case hasNoBody(a.req.Method, resp.StatusCode) || resp.ContentLength == 0:
@@ -499,7 +505,7 @@
 		return a.fail(err)
 	}
 	if res.stream != nil {
-		a.conn.bodyDeadline = a.c.bodyDeadline(a.c.progressTimeout)
+		a.conn.setBodyDeadline(a.c.bodyDeadline(a.c.progressTimeout))
 		res.attempt = a
 		return res
 	}
@@ -573,7 +579,7 @@
 
 // readNotRun handles a response that states that the request has not run.
 func (a *attempt) readNotRun(resp *http.Response) *result {
-	a.conn.bodyDeadline = time.Now().Add(discardTimeout) // The body is only read so that the connection can be reused.
+	a.conn.setBodyDeadline(time.Now().Add(discardTimeout)) // The body is only read so that the connection can be reused.
 	_, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBodyBytes)
 	a.addressReused = resp.StatusCode == http.StatusMisdirectedRequest
 	a.finish(sycamorevane.OutcomeShed, err == io.EOF && !resp.Close)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -325,7 +325,7 @@
 	if limit <= 0 {
 		limit = math.MaxInt64
 	}
-	c.upload = newUpload(c.r, c.rc, limit, c.progressTimeout)
+	c.upload = newUpload(c.r, c.rc, limit, c.progressTimeout, c.f.pacer)
 	c.memory.takeUpload(int64(c.upload.maxBytes))
 	c.upload.readPrefix(c.key != "")
 	if err := c.upload.sourceErr(); err != nil {
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -38,10 +38,10 @@
 	reused    bool
 	// serverIdleTimeout is how long the server keeps an idle connection open; 0 when it has not said.
 	serverIdleTimeout time.Duration
-	// progressTimeout limits each read and write of a body. bodyDeadline limits all reads of a response body; zero for no
-	// limit.
+	// progressTimeout limits each read and write of a body. bodyDeadlineNs limits all reads of a response body, in Unix ns;
+	// 0 for no limit. It is atomic because it is changed while a prefixBuffer reads the body.
 	progressTimeout time.Duration
-	bodyDeadline    time.Time
+	bodyDeadlineNs  atomic.Int64
 	// headerRemaining is how many more bytes the response header may have; negative while the body is read.
 	headerRemaining int
 	// bytesSent counts the bytes passed to the kernel in the current exchange.
@@ -112,11 +112,21 @@
 
 // beginExchange resets the limits of the connection for a new exchange.
 func (c *serverConn) beginExchange(progressTimeout time.Duration) {
-	c.progressTimeout, c.bodyDeadline = progressTimeout, time.Time{}
+	c.progressTimeout = progressTimeout
+	c.bodyDeadlineNs.Store(0)
 	c.headerRemaining = maxResponseHeaderBytes
 	c.bytesSent.Store(0)
 }
 
+// setBodyDeadline limits all reads of a response body; the zero time means no limit.
+func (c *serverConn) setBodyDeadline(t time.Time) {
+	if t.IsZero() {
+		c.bodyDeadlineNs.Store(0)
+		return
+	}
+	c.bodyDeadlineNs.Store(t.UnixNano())
+}
+
 // awaitStatusLine waits for the start of a response and fails as soon as the bytes cannot be one.
 func (c *serverConn) awaitStatusLine() error {
 	const prefix = "HTTP/"
@@ -146,8 +156,8 @@
 func (r *connReader) Read(p []byte) (int, error) {
 	if r.headerRemaining < 0 {
 		deadline := time.Now().Add(r.progressTimeout)
-		if !r.bodyDeadline.IsZero() && r.bodyDeadline.Before(deadline) {
-			deadline = r.bodyDeadline
+		if ns := r.bodyDeadlineNs.Load(); ns != 0 && ns < deadline.UnixNano() {
+			deadline = time.Unix(0, ns)
 		}
 		_ = r.Conn.SetReadDeadline(deadline)
 		return r.Conn.Read(p)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -91,6 +91,9 @@
 	OnDirective func(server string, d sycamorevane.ServerDirective)
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s; 0 when unknown.
 	LinkMbps float64
+	// PaceTransfers limits large bodies to a share of the link, so that small requests keep their time. It has no effect
+	// if LinkMbps is 0 or more than maxPacedLinkMbps.
+	PaceTransfers bool
 	// HedgeAcquireTimeout is the time limit for acquiring a server for a hedge; 0 means the default.
 	HedgeAcquireTimeout time.Duration
 	// Observe receives the outcome of each attempt; may be nil.
@@ -111,6 +114,8 @@
 	index       atomic.Pointer[index]
 	pools       connPools
 	bodyMemory  *bodyMemory
+	// pacer is nil if bodies are not paced.
+	pacer *pacer
 	// hedges counts running hedges, which may end shortly after the request that started them.
 	hedges sync.WaitGroup
 
@@ -163,10 +168,13 @@
 		retries: m.Counter("retries"), hedges: m.Counter("hedges"), panics: m.Counter("panics"),
 		truncated: m.Counter("truncated"), mismatched: m.Counter("mismatched"),
 		malformed: m.Counter("malformed"), streamedForMemory: m.Counter("streamed_for_memory"),
-		latency:   m.Histogram("latency", latencyBuckets),
+		latency: m.Histogram("latency", latencyBuckets),
 	}
 	f.sampler = recorder.NewSampler(cfg.Log)
 	f.bodyMemory = newBodyMemory()
+	if cfg.PaceTransfers {
+		f.pacer = newPacer(cfg.LinkMbps, m)
+	}
 	f.pools.init(cfg.DialTimeout)
 	return f
 }
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -137,7 +138,38 @@
 	_ = c.rc.SetWriteDeadline(time.Now().Add(max(c.progressTimeout, time.Second)))
 	c.headerWritten = true
 	c.w.WriteHeader(status)
-	_, _ = c.w.Write(body)
+	c.writeBody(body)
+}
+
+// writeBody writes a response body that is in memory.
+func (c *call) writeBody(body []byte) {
+	if c.f.pacer == nil || len(body) <= pacedBodyBytes {
+		_, _ = c.w.Write(body)
+		return
+	}
+	c.writePaced(bytes.NewReader(body), int64(len(body)))
+}
+
+// writePaced writes a large body. The write deadline is set for each chunk, since pacing takes time as well.
+func (c *call) writePaced(body io.Reader, length int64) {
+	paced := c.f.pacer.pace(c.r.Context(), body, length, false)
+	buf := make([]byte, pacedChunkBytes)
+	for {
+		n, err := paced.Read(buf)
+		_ = c.rc.SetWriteDeadline(time.Now().Add(max(c.progressTimeout, time.Second)))
+		if _, werr := c.w.Write(buf[:n]); werr != nil {
+			return
+		}
+		if n > 0 && c.rc.Flush() != nil {
+			return
+		}
+		switch {
+		case err == io.EOF:
+			return
+		case err != nil:
+			panic(http.ErrAbortHandler)
+		}
+	}
 }
 
 // writeStillRunning responds that a request with the same key is running. It does not state that the request has not run,
@@ -231,8 +263,9 @@
 	c.w.WriteHeader(res.resp.StatusCode)
 	_ = c.rc.Flush()
 	buf := make([]byte, copyBufferBytes)
+	stream := c.f.pacer.pace(c.r.Context(), res.stream, res.resp.ContentLength, false)
 	for {
-		n, err := res.stream.Read(buf)
+		n, err := stream.Read(buf)
 		if n > 0 {
 			c.appendRecorded(recorded, buf[:n])
 			_ = c.rc.SetWriteDeadline(time.Now().Add(c.progressTimeout))
--- a/forwarder/upload.go
+++ b/forwarder/upload.go
@@ -38,13 +38,13 @@
 	fillDone chan struct{}
 }
 
-func newUpload(r *http.Request, rc *http.ResponseController, limit int64, progressTimeout time.Duration) *upload {
+func newUpload(r *http.Request, rc *http.ResponseController, limit int64, progressTimeout time.Duration, p *pacer) *upload {
 	u := &upload{body: r.Body, rc: rc, length: r.ContentLength, remaining: limit, progressTimeout: progressTimeout}
 	size := maxPrefixBytes
 	if u.length >= 0 && u.length < maxPrefixBytes {
 		size = int(u.length) + 1 // One more byte, so that the read also sees the end.
 	}
-	u.prefixBuffer = newPrefixBuffer(u, size)
+	u.prefixBuffer = newPrefixBuffer(p.pace(r.Context(), u, u.length, true), size)
 	return u
 }
 
