--- a/forwarder/transfers_test.go
+++ b/forwarder/transfers_test.go
@@ -48,6 +48,7 @@
 		}
 		st.Config.Services[0].ProgressTimeout = 20 * time.Second
 		st.Config.Services[0].RetryRatio = 0
+		cfg.DialTimeout = 5 * time.Second // A connection over loopback takes more than 1 s on a very busy machine.
 		if edit != nil {
 			edit(cfg)
 		}
