--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -79,6 +79,7 @@
 	// fingerprint is zero until the prefix of the body has been read.
 	fingerprint uint64
 	claim       *sycamorevane.Claim
+	memory      callMemory
 
 	attempts        int
 	excludedServers []string
@@ -337,7 +338,8 @@
 	if limit <= 0 {
 		limit = math.MaxInt64
 	}
-	c.upload = newUpload(c.r, c.rc, limit, c.progressTimeout)
+	c.upload = newUpload(c.r, c.rc, limit, c.progressTimeout, c.f.pacer)
+	c.memory.takeUpload(int64(c.upload.maxBytes))
 	c.upload.readPrefix(c.key != "")
 	if err := c.upload.sourceErr(); err != nil {
 		return c.uploadError(err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -100,6 +100,9 @@
 	OnDirective func(server string, d sycamorevane.ServerDirective)
 	// LinkMbps is the bandwidth of the host's network link in Mbit/s; 0 when unknown.
 	LinkMbps float64
+	// PaceTransfers limits large bodies to a share of the link, so that small requests keep their time. It has no effect
+	// if LinkMbps is 0 or more than maxPacedLinkMbps.
+	PaceTransfers bool
 	// HedgeAcquireTimeout is the time limit for acquiring a server for a hedge; 0 means the default.
 	HedgeAcquireTimeout time.Duration
 	// Observe receives the outcome of each attempt; may be nil.
@@ -121,6 +124,9 @@
 	lastID      atomic.Uint64
 	index       atomic.Pointer[index]
 	pools       connPools
+	bodyMemory  *bodyMemory
+	// pacer is nil if bodies are not paced.
+	pacer *pacer
 	// hedges counts running hedges, which may end shortly after the request that started them.
 	hedges sync.WaitGroup
 
@@ -132,7 +138,7 @@
 
 // metrics are the metrics of a Forwarder.
 type metrics struct {
-	calls, refused, uncertain, retries, hedges, panics, truncated, mismatched, malformed, unauthorized tally.Counter
+	calls, refused, uncertain, retries, hedges, panics, truncated, mismatched, malformed, unauthorized, streamedForMemory tally.Counter
 	// latency is the time from the arrival of a request to the end of its handling.
 	latency tally.Histogram
 }
@@ -172,10 +178,14 @@
 		calls: m.Counter("calls"), refused: m.Counter("refused"), uncertain: m.Counter("uncertain"),
 		retries: m.Counter("retries"), hedges: m.Counter("hedges"), panics: m.Counter("panics"),
 		truncated: m.Counter("truncated"), mismatched: m.Counter("mismatched"),
-		malformed: m.Counter("malformed"), unauthorized: m.Counter("unauthorized"),
+		malformed: m.Counter("malformed"), unauthorized: m.Counter("unauthorized"), streamedForMemory: m.Counter("streamed_for_memory"),
 		latency: m.Histogram("latency", latencyBuckets),
 	}
 	f.sampler = recorder.NewSampler(cfg.Log)
+	f.bodyMemory = newBodyMemory()
+	if cfg.PaceTransfers {
+		f.pacer = newPacer(cfg.LinkMbps, m)
+	}
 	f.pools.init(cfg.DialTimeout)
 	return f
 }
@@ -193,7 +203,8 @@
 		f.cfg.EntriesHandler.ServeHTTP(w, r)
 		return
 	}
-	c := &call{f: f, w: w, r: r, startedAt: time.Now(), rc: http.NewResponseController(w)}
+	c := &call{f: f, w: w, r: r, startedAt: time.Now(), rc: http.NewResponseController(w), memory: callMemory{total: f.bodyMemory}}
+	defer c.memory.release()
 	if f.cfg.ShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
