Messages and the two sides of shared placement, not yet wired

Entries decide alone among hundreds of servers, and each knows only the results of its own requests and probes. The package coordinator drives the pools of package scheduler on control hosts and asks them on entries.

--- /dev/null
+++ b/coordinator/pool.go
@@ -0,0 +1,321 @@
+package coordinator
+
+import (
+	"strconv"
+	"time"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/cataloger"
+	"sycamorevane.example/sycamorevane/dispatcher"
+	"sycamorevane.example/sycamorevane/encoder"
+	"sycamorevane.example/sycamorevane/scheduler"
+)
+
+// pool connects a scheduler.Pool with the entries that ask it.
+type pool struct {
+	c       *Coordinator
+	service string
+	// number tells entries that a pool knows nothing of what they reported before.
+	number      uint32
+	core        scheduler.Pool
+	createdAt   time.Time
+	lastRequest time.Time
+	updatedAt   time.Time
+	// early holds the requests that have arrived during warmUp.
+	early   []scheduler.Ask
+	entries map[string]*entry
+	// ids maps the numbers of servers to their IDs, servers their IDs to what is known of them.
+	ids     map[uint32]string
+	servers map[string]sycamorevane.Server
+	// usable is the number of servers that may be granted.
+	usable   int
+	unusable map[uint32]returnedServer
+	wasBusy  bool
+}
+
+// entry is an entry in one of its starts.
+type entry struct {
+	name string
+	boot uint32
+	// key identifies the start in scheduler.Key.
+	key string
+	// waiting holds when each waiting request has arrived.
+	waiting   map[uint64]time.Time
+	decisions []*encoder.ScheduleDecision
+	sentAt    time.Time
+	heardAt   time.Time
+}
+
+// returnedServer is a server that an entry has returned as not usable.
+type returnedServer struct {
+	entry string
+	at    time.Time
+	// until is set when a second entry has confirmed it.
+	until time.Time
+}
+
+// busy reports whether requests wait.
+func (p *pool) busy() bool {
+	for _, e := range p.entries {
+		if len(e.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *pool) warm(now time.Time) bool { return now.Sub(p.createdAt) >= warmUp }
+
+func (p *pool) apply(now time.Time, from string, m *encoder.ScheduleAsk) {
+	e := p.entry(now, from, m.Boot)
+	for _, s := range m.Started {
+		p.core.Start(now, scheduler.Start{
+			Key: scheduler.Key{Entry: e.key, ID: s.Id}, Server: p.ids[s.Server], Route: s.Route,
+			Work: time.Duration(s.Work) * time.Millisecond, At: now.Add(-time.Duration(s.Age) * time.Millisecond),
+		})
+	}
+	for _, id := range m.Withdrawn {
+		p.withdraw(now, e, id)
+	}
+	for _, f := range m.Finished {
+		p.decide(now, p.core.Finish(now, scheduler.Finish{
+			Key: scheduler.Key{Entry: e.key, ID: f.Id}, Server: p.ids[f.Server], Route: f.Route,
+			Kind: sycamorevane.OutcomeKind(f.Kind), Latency: time.Duration(f.Latency) * time.Millisecond, Load: decodeLoad(f.Load),
+		}))
+	}
+	for _, server := range m.Unusable {
+		p.markUnusable(now, from, server)
+	}
+	for _, r := range m.Requests {
+		p.ask(now, e, r)
+	}
+}
+
+// entry returns the entry's state. A new start of the entry replaces the former one.
+func (p *pool) entry(now time.Time, name string, boot uint32) *entry {
+	e := p.entries[name]
+	if e == nil || e.boot != boot {
+		if e != nil {
+			p.forget(now, e)
+		}
+		e = &entry{name: name, boot: boot, key: name + "#" + strconv.FormatUint(uint64(boot), 36), waiting: make(map[uint64]time.Time)}
+		p.entries[name] = e
+	}
+	e.heardAt = now
+	return e
+}
+
+// forget drops what waits for an entry that has ended.
+func (p *pool) forget(now time.Time, e *entry) {
+	p.core.ForgetEntry(now, e.key)
+	p.dropEarly(func(a *scheduler.Ask) bool { return a.Entry == e.key })
+	delete(p.entries, e.name)
+}
+
+func (p *pool) dropEarly(drop func(*scheduler.Ask) bool) {
+	kept := p.early[:0]
+	for i := range p.early {
+		if !drop(&p.early[i]) {
+			kept = append(kept, p.early[i])
+		}
+	}
+	p.early = kept
+}
+
+func (p *pool) withdraw(now time.Time, e *entry, id uint64) {
+	delete(e.waiting, id)
+	key := scheduler.Key{Entry: e.key, ID: id}
+	p.dropEarly(func(a *scheduler.Ask) bool { return a.Key == key })
+	p.decide(now, p.core.Cancel(now, key))
+}
+
+func (p *pool) ask(now time.Time, e *entry, r *encoder.ScheduleRequest) {
+	p.lastRequest = now
+	if p.usable == 0 {
+		e.decisions = append(e.decisions, &encoder.ScheduleDecision{Id: r.Id})
+		return
+	}
+	a := scheduler.Ask{
+		Key: scheduler.Key{Entry: e.key, ID: r.Id}, Route: r.Route, Workspace: r.Firm, Priority: int(r.Priority),
+		Deadline: decodeTime(now, r.Deadline), SoftDeadline: decodeTime(now, r.Soft), Work: time.Duration(r.Work) * time.Millisecond,
+		Returned: r.Returned,
+	}
+	for _, number := range r.Excluded {
+		if id := p.ids[number]; id != "" {
+			a.ExcludedServers = append(a.ExcludedServers, id)
+		}
+	}
+	e.waiting[r.Id] = now
+	if !p.warm(now) {
+		p.early = append(p.early, a)
+		return
+	}
+	p.decide(now, p.core.Ask(now, a))
+}
+
+// decide adds decisions to the next messages of their entries. One for an entry that is gone is withdrawn.
+func (p *pool) decide(now time.Time, decisions []scheduler.Decision) {
+	for i := range decisions {
+		d := &decisions[i]
+		e := p.entryByKey(d.Entry)
+		if e == nil {
+			if d.Server != "" {
+				p.decide(now, p.core.Cancel(now, d.Key))
+			}
+			continue
+		}
+		askedAt, waiting := e.waiting[d.ID]
+		if !waiting {
+			continue
+		}
+		delete(e.waiting, d.ID)
+		p.c.wait.RecordDuration(now.Sub(askedAt))
+		e.decisions = append(e.decisions, p.encode(d))
+	}
+}
+
+func (p *pool) encode(d *scheduler.Decision) *encoder.ScheduleDecision {
+	if d.Server != "" {
+		p.c.granted.Inc(1)
+		return &encoder.ScheduleDecision{Id: d.ID, Server: dispatcher.ServerNumber(d.Server)}
+	}
+	p.c.rejected.Inc(1)
+	return &encoder.ScheduleDecision{Id: d.ID, After: max(1, milliseconds(d.RetryAfter)), Reason: d.Reason}
+}
+
+func (p *pool) entryByKey(key string) *entry {
+	for i := len(key) - 1; i >= 0; i-- {
+		if key[i] == '#' {
+			if e := p.entries[key[:i]]; e != nil && e.key == key {
+				return e
+			}
+			return nil
+		}
+	}
+	return nil
+}
+
+// tick does the periodic work. peers tells which hosts are known and which of them are alive.
+func (p *pool) tick(now time.Time, peers map[string]bool) {
+	for name, e := range p.entries {
+		if alive, known := peers[name]; known && alive {
+			continue
+		}
+		// An entry without a session may have been heard just before the session is known.
+		if len(e.waiting) > 0 || now.Sub(e.heardAt) > entryRetention {
+			p.forget(now, e)
+		}
+	}
+	if now.Sub(p.updatedAt) >= updateInterval {
+		p.update(now)
+	}
+	if p.warm(now) {
+		early := p.early
+		p.early = nil
+		for i := range early {
+			p.decide(now, p.core.Ask(now, early[i]))
+		}
+	}
+	p.decide(now, p.core.Tick(now))
+	p.sendProbes(now)
+}
+
+func (p *pool) sendProbes(now time.Time) {
+	due := p.core.DueProbes(now)
+	if len(due) == 0 {
+		return
+	}
+	svc := p.c.cfg.State().Config.Service(p.service)
+	for _, id := range due {
+		s, ok := p.servers[id]
+		if !ok || svc == nil || svc.HealthPath == "" || !p.c.probe(s, svc.HealthPath) {
+			p.decide(now, p.core.Report(now, id, nil))
+		}
+	}
+}
+
+// flush sends each entry its decisions, and the requests that wait if it has heard nothing for waitingInterval.
+func (p *pool) flush(now time.Time) {
+	for _, e := range p.entries {
+		if len(e.decisions) == 0 && (len(e.waiting) == 0 || now.Sub(e.sentAt) < waitingInterval) {
+			continue
+		}
+		m := &encoder.ScheduleGrant{
+			Service: p.service, Boot: e.boot, Pool: p.number, Decisions: e.decisions, Waiting: sortedKeys(e.waiting),
+		}
+		if err := p.c.cfg.Transport.Send(e.name, m); err != nil {
+			p.c.cfg.Log.V(1).Info("decisions not sent", "peer", e.name, "reason", err.Error())
+			p.withdrawUnsent(now, e)
+		}
+		e.decisions, e.sentAt = nil, now
+	}
+}
+
+// withdrawUnsent takes back grants that could not be sent.
+func (p *pool) withdrawUnsent(now time.Time, e *entry) {
+	unsent := e.decisions
+	e.decisions = nil
+	for _, d := range unsent {
+		if d.Server != 0 {
+			p.decide(now, p.core.Cancel(now, scheduler.Key{Entry: e.key, ID: d.Id}))
+		}
+	}
+}
+
+// markUnusable records that the rules of an entry forbid a server.
+func (p *pool) markUnusable(now time.Time, entry string, server uint32) {
+	r := p.unusable[server]
+	if r.entry != "" && r.entry != entry && now.Sub(r.at) < unusablePeriod {
+		r.until = now.Add(unusablePeriod)
+		p.c.cfg.Log.Info("entries return a server, it is not granted for a while", "service", p.service, "server", p.ids[server])
+	}
+	r.entry, r.at = entry, now
+	p.unusable[server] = r
+	p.update(now)
+}
+
+// update reads the servers from the catalog and the state.
+func (p *pool) update(now time.Time) {
+	p.updatedAt = now
+	st := p.c.cfg.State()
+	p.servers = make(map[string]sycamorevane.Server)
+	p.usable = 0
+	clear(p.ids)
+	var list []scheduler.Server
+	for _, record := range p.c.cfg.Servers() {
+		s := &record.Server
+		if s.Service != p.service || s.DC != p.c.cfg.DC || record.Ended {
+			continue
+		}
+		number := dispatcher.ServerNumber(s.ID)
+		p.ids[number], p.servers[s.ID] = s.ID, *s
+		usable := isUsable(now, st, &record) && !now.Before(p.unusable[number].until)
+		if usable {
+			p.usable++
+		}
+		list = append(list, scheduler.Server{ID: s.ID, Slots: s.Slots, Usable: usable})
+	}
+	for number, r := range p.unusable {
+		if now.Sub(r.at) > unusablePeriod && !now.Before(r.until) {
+			delete(p.unusable, number)
+		}
+	}
+	p.core.Update(now, list)
+}
+
+// isUsable reports whether the server may be granted: entries share the limits of cold and limited servers among themselves,
+// and try versions under rollout by their own view.
+func isUsable(now time.Time, st *sycamorevane.State, record *cataloger.ServerRecord) bool {
+	s := &record.Server
+	if st == nil || record.Leaving() || record.LeaseExpired || record.Limit != nil && record.Limit.Limited || st.ServerDrained(s, record.StartedAt) {
+		return false
+	}
+	if _, drained := st.DrainedDCs[s.DC]; drained {
+		return false
+	}
+	if svc := st.Config.Service(s.Service); svc == nil || svc.ColdRate > 0 && now.Before(record.ColdUntil) {
+		return false
+	}
+	shares := st.VersionShares(s.Service)
+	return shares == nil || shares[s.Version] > 0 && !dispatcher.UnderTrial(st, s)
+}
--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -221,6 +221,10 @@
 	// requireFresh excludes servers that report their load but have no fresh report, or whose fresh report says that
 	// they are slow.
 	requireFresh bool
+	// skipProbe reports whether a server is not probed for waiting requests; nil means that all may be.
+	skipProbe func(*server) bool
+	// unscheduledOnly excludes the servers that the scheduler may grant.
+	unscheduledOnly bool
 }
 
 // pick chooses a version and a server for a request.
@@ -308,6 +312,9 @@
 		}
 		cold := isCold(v, s, svc)
 		limit := s.limitFor(late, congested)
+		if v.unscheduledOnly && c.grantedByScheduler(s, cold) {
+			continue
+		}
 		if cold && !c.allowsCold(v, s, svc) || !s.hasCapacity(v.now, meanLatency, v.position.entries, limit) ||
 			mustBeInTime && s.expectedNextLatency(v.now, latency.base, meanLatency) > remaining {
 			continue
--- a/dispatcher/demand_probe.go
+++ b/dispatcher/demand_probe.go
@@ -53,6 +53,9 @@
 	if svc == nil || svc.HealthPath == "" {
 		return nil
 	}
+	if d.cfg.Scheduler != nil {
+		v.skipProbe = func(s *server) bool { return d.decidedByScheduler(v, s) }
+	}
 	var probes []Probe
 	p := d.core.pool(service)
 	available := probesPerService - p.pendingProbes(v.now)
@@ -110,6 +113,9 @@
 	congested := p.congestedAt(v.now)
 	minInterval := time.Duration(min(entriesPerServer, v.entriesPerDC())) * time.Second / demandProbesPerSecond
 	for _, s := range p.servers {
+		if v.skipProbe != nil && v.skipProbe(s) {
+			continue
+		}
 		if s.probePending || v.now.Sub(s.reportedAt) <= freshReportAge || v.now.Sub(s.probedAt) < minInterval ||
 			s.pausedAt(v.now) || s.record.LeaseExpired {
 			continue
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
 	"sycamorevane.example/sycamorevane"
@@ -66,8 +67,10 @@
 	EntryRank func() (rank, entries int)
 	// Isolated reports whether this entry has lost contact with the control hosts; nil means that it never does.
 	Isolated func() bool
-	Log      logr.Logger
-	Metrics  tally.Scope
+	// Scheduler places the requests for servers of this entry's data centre; nil means that this entry places all requests.
+	Scheduler Scheduler
+	Log       logr.Logger
+	Metrics   tally.Scope
 }
 
 // Dispatcher implements sycamorevane.Limiter.
@@ -80,6 +83,8 @@
 	// waiterCount counts the requests that have waited. It numbers them.
 	waiterCount uint64
 	queue       map[string][]*waiter
+	// scheduled holds the requests that the scheduler knows of, by grant ID.
+	scheduled map[uint64]scheduledRequest
 	// undrainedAt holds when each undrained data centre was undrained, by this host's clock.
 	undrainedAt map[string]time.Time
 	// outsideSubsetBucket limits the probes of servers outside the subset.
@@ -140,6 +145,7 @@
 	return &Dispatcher{
 		cfg: cfg, core: newCore(cfg.DC, cfg.Bounds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		startedAt: time.Now(), queue: make(map[string][]*waiter), undrainedAt: make(map[string]time.Time),
+		scheduled:   make(map[uint64]scheduledRequest),
 		timelyShare: 1, paused: m.Counter("paused"), refused: m.Counter("refused"),
 		probesSent: m.Counter("questions"), lateAnswers: m.Counter("untimely"),
 		limitedRequests: m.Counter("limited_requests"), limitedProbes: m.Counter("limited_probes"),
@@ -208,12 +214,26 @@
 	if !req.Hedge {
 		d.core.pool(req.Service).countArrival(now, req.Priority)
 	}
+	if d.schedulable(v, &req, w.versionChoice) {
+		d.mu.Unlock()
+		g, err := d.acquireScheduled(ctx, w)
+		if !errors.Is(err, ErrOwnView) {
+			return g, err
+		}
+		now = time.Now()
+		d.mu.Lock()
+		v = d.view(now)
+		w.freshUntil = d.freshUntil(now)
+	}
+	if d.cfg.Scheduler != nil && d.cfg.Scheduler.Decides(req.Service) && !w.versionChoice.trial {
+		w.freshUntil = now // No probes are sent that could bring fresh reports.
+	}
 	got := choice{anyUsable: true}
 	if len(d.queue[req.Service]) == 0 || req.Hedge {
 		got = d.place(v, w)
 	}
 	if got.server != nil {
-		g := d.grant(v, got)
+		g := d.grant(v, req.Route, got)
 		d.mu.Unlock()
 		return g, nil
 	}
@@ -383,7 +403,7 @@
 			break
 		}
 		served.Add(w.sequence)
-		w.result <- placement{grant: d.grant(v, got)}
+		w.result <- placement{grant: d.grant(v, w.req.Route, got)}
 	}
 	if len(served) > 0 {
 		d.queue[service] = slices.DeleteFunc(d.queue[service], func(w *waiter) bool { return served.Has(w.sequence) })
@@ -408,10 +428,12 @@
 	return slices.ContainsFunc(waiters, func(w *waiter) bool { return now.Sub(w.queuedAt) >= wait })
 }
 
-func (d *Dispatcher) grant(v *view, got choice) sycamorevane.Grant {
+func (d *Dispatcher) grant(v *view, route string, got choice) sycamorevane.Grant {
 	d.countRequest(got.server)
 	srv := withMaxConns(got.server.record.Server, v.state.Config.Service(got.server.record.Server.Service))
-	return sycamorevane.Grant{ID: d.core.startRequest(v.now, got.server), Server: srv, Trial: got.trial}
+	id := d.core.startRequest(v.now, got.server)
+	d.reportStart(v.now, route, got.server, id)
+	return sycamorevane.Grant{ID: id, Server: srv, Trial: got.trial}
 }
 
 // withMaxConns applies the configured limit of connections, which servers of some deployments do not announce.
@@ -465,6 +487,7 @@
 func (d *Dispatcher) Release(g sycamorevane.Grant, o sycamorevane.Outcome) {
 	now := time.Now()
 	d.mu.Lock()
+	d.reportFinish(g.ID, &o)
 	s, paused := d.core.finishRequest(now, g.Server.Service, g.Server.ID, g.ID, o)
 	probes := d.serveQueue(now, g.Server.Service)
 	d.mu.Unlock()
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		for _, s := range p.servers {
-			if s.record.Server.DC != d.core.dc || s.probePending || !d.core.inSubset(v, s) || !usable(v, s, "", nil) || s.isLeaving() || s.limited() {
+			if s.record.Server.DC != d.core.dc || s.probePending || d.decidedByScheduler(v, s) || !d.core.inSubset(v, s) || !usable(v, s, "", nil) || s.isLeaving() || s.limited() {
 				continue
 			}
 			if now.Sub(s.reportedAt) < backgroundReportAge || now.Sub(s.probedAt) < minInterval {
@@ -85,7 +85,7 @@
 func (d *Dispatcher) probeOutsideSubset(v *view, p *pool, svc *sycamorevane.Service) (Probe, bool) {
 	for _, i := range d.core.rand.Perm(len(p.servers)) {
 		s := p.servers[i]
-		if s.probePending || d.core.inSubset(v, s) || !usable(v, s, "", nil) || s.isLeaving() || s.limited() ||
+		if s.probePending || d.decidedByScheduler(v, s) || d.core.inSubset(v, s) || !usable(v, s, "", nil) || s.isLeaving() || s.limited() ||
 			v.now.Sub(s.reportedAt) < outsideSubsetReportAge || s.pausedAt(v.now) {
 			continue
 		}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -28,6 +28,9 @@
 	responseAfterWriteErrorTimeout = 500 * time.Millisecond
 	// maxInformational limits the number of 1xx responses before the final one.
 	maxInformational = 5
+	// minReturnWait is the time that a caller has spent on earlier attempts from which it counts as one that returns. No
+	// refused caller is told to return earlier.
+	minReturnWait = 30 * time.Millisecond
 	// minDelayedBodyBytes is the smallest body whose last byte is delayed while the host of the server is slow. A server
 	// starts a request when it has the whole body, and the load of the host at that time determines how long the request
 	// takes.
@@ -190,6 +193,7 @@
 	if c.rule != nil {
 		req.Priority = c.rule.Priority
 	}
+	req.Returned = c.previousWait >= minReturnWait
 	grant, err := c.acquire(ctx, req, hedge)
 	if err != nil {
 		if permit != nil {
@@ -198,7 +202,7 @@
 		return &result{notAttempted: err}
 	}
 	if !hedge {
-		c.acquiredAt = time.Now()
+		c.acquiredAt, c.scheduler = time.Now(), grant.Scheduler
 	}
 	a := &attempt{c: c, ctx: ctx, grant: grant, id: c.attemptID(), startedAt: time.Now(), permit: permit}
 	if onGrant != nil {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -63,6 +63,8 @@
 	progressTimeout  time.Duration
 	// acquiredAt is when the last server was acquired, other than for a hedge.
 	acquiredAt time.Time
+	// scheduler is the host that has chosen that server; empty when this entry has.
+	scheduler string
 	// previousWait is the estimated time that the caller has already spent on earlier attempts of its own.
 	previousWait time.Duration
 	// deadline is the earlier of the rule's and the caller's deadline. It is zero without either, since a slow upload may
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -105,6 +105,9 @@
 		"heldms", res.bodyDelay.Milliseconds(), "waitedms", c.previousWait.Milliseconds(),
 		"aimms", c.rule.SoftTimeout.Milliseconds(), "version", c.stateVersion(),
 	}
+	if c.scheduler != "" {
+		pairs = append(pairs, "scheduler", c.scheduler)
+	}
 	if res.load != nil {
 		pairs = append(pairs, "running", res.load.Running, "waiting", res.load.Waiting, "slots", res.load.Slots, "pace", res.load.Slowdown)
 	}
--- a/parser/discovery.go
+++ b/parser/discovery.go
@@ -40,7 +40,9 @@
 	// MetricsPort is the port that serves /metrics; 0 means that metrics are not served.
 	MetricsPort int
 	Bounds      DiscoveryBounds
-	Debug       bool
+	// Contracts lists the optional features that the deployment requests, by the platform's names.
+	Contracts []string
+	Debug     bool
 }
 
 // DiscoveryEntry holds the settings of the entry role.
@@ -145,6 +147,7 @@
 				{"seeds", true, addrPortListParser(&s.Seeds)},
 				{"first", false, boolParser(&s.FirstStart)},
 				{"dcs", true, nonEmptyListParser(&s.DCs)},
+				{"contracts", false, listParser(&s.Contracts)},
 			})
 		case "entry":
 			s.Entry = &DiscoveryEntry{}
--- a/types.go
+++ b/types.go
@@ -76,6 +76,8 @@
 	SoftDeadline time.Time
 	// Hedge is set for a second attempt that runs concurrently with the first one. It must not wait for a free slot.
 	Hedge bool
+	// Returned is set when the caller has sent the request before, was refused, and has come back.
+	Returned bool
 }
 
 // Grant permits one request to run on one server.
@@ -87,6 +89,8 @@
 	ExpiresAt time.Time
 	// Trial is set when the server runs a version under rollout that has not been accepted yet.
 	Trial bool
+	// Scheduler is the host that has chosen the server; empty when the entry has chosen it itself.
+	Scheduler string
 }
 
 // OutcomeKind is the result of one attempt to run a request.
