Place requests by schedulers on control hosts where the contract pressure is given

Entries open sessions with the scheduling hosts of their data centre, which control hosts name in pushes, ask them for servers, and place requests themselves when a scheduler is silent, has no server or grants one that their own rules forbid. Off by default: the setting contracts in [cluster] turns it on. Tested on loopback with three control hosts and an entry, including the stop of the scheduling host.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -32,9 +32,8 @@
 	// warmUp is how long a new pool only collects what entries report as running before it grants. It is a round trip
 	// between hosts with little processor time.
 	warmUp = 50 * time.Millisecond
-	// poolRetention is how long a pool without requests is kept, entryRetention the same for an entry.
-	poolRetention  = time.Minute
-	entryRetention = 3 * time.Second
+	// poolRetention is how long a pool without requests is kept.
+	poolRetention = time.Minute
 	// maxInbox limits the messages that wait for the goroutine, maxBatch those that it handles before it sends decisions.
 	maxInbox = 2048
 	maxBatch = 64
@@ -72,6 +71,9 @@
 	// probeSlots holds one element per running probe.
 	probeSlots chan struct{}
 	pools      map[string]*pool
+	// updatedAt is when peers and the servers of the pools were last read. peers holds the hosts with a session.
+	updatedAt time.Time
+	peers     sycamorevane.Set[string]
 
 	asked, granted, rejected, dropped, probes tally.Counter
 	wait                                      tally.Histogram
@@ -136,6 +138,7 @@
 		case m := <-c.inbox:
 			c.apply(time.Now(), m)
 			c.drainInbox()
+			c.sendProbes(time.Now())
 		case r := <-c.probed:
 			c.applyProbe(time.Now(), r)
 		case <-t.C:
@@ -178,7 +181,7 @@
 		c: c, service: service, number: rand.Uint32() | 1, core: c.cfg.NewPool(), createdAt: now, lastRequest: now,
 		entries: make(map[string]*entry), ids: make(map[uint32]string), unusable: make(map[uint32]returnedServer),
 	}
-	p.update(now)
+	p.update(now, c.cfg.Servers())
 	c.pools[service] = p
 	c.cfg.Log.Info("pool created", "service", service, "servers", p.usable)
 	return p
@@ -187,23 +190,40 @@
 // tick does the periodic work and returns the time until it is due again.
 func (c *Coordinator) tick(now time.Time) time.Duration {
 	interval := idleInterval
-	peers := make(map[string]bool)
+	if now.Sub(c.updatedAt) >= updateInterval {
+		c.update(now)
+	}
+	for _, p := range c.pools {
+		p.tick(now)
+		if p.busy() {
+			interval = decideInterval
+		}
+	}
+	return interval
+}
+
+// update reads the servers and the sessions, and drops what is no longer needed.
+func (c *Coordinator) update(now time.Time) {
+	c.updatedAt = now
+	c.peers = sycamorevane.NewSet(c.cfg.Transport.Self())
 	for _, peer := range c.cfg.Transport.Peers() {
-		peers[peer.Name] = peer.Alive
+		if peer.Alive {
+			c.peers.Add(peer.Name)
+		}
+	}
+	var servers []cataloger.ServerRecord
+	if len(c.pools) > 0 {
+		servers = c.cfg.Servers()
 	}
-	peers[c.cfg.Transport.Self()] = true
 	for service, p := range c.pools {
 		if now.Sub(p.lastRequest) > poolRetention {
 			delete(c.pools, service)
 			c.cfg.Log.Info("pool dropped, it had no requests", "service", service)
 			continue
 		}
-		p.tick(now, peers)
-		if p.busy() {
-			interval = decideInterval
-		}
+		p.forgetLost(now)
+		p.update(now, servers)
 	}
-	return interval
 }
 
 // flush sends the decisions, and reports whether requests have begun to wait.
@@ -246,5 +266,15 @@
 	return true
 }
 
+// sendProbes probes servers for requests that have begun to wait.
+func (c *Coordinator) sendProbes(now time.Time) {
+	for _, p := range c.pools {
+		if p.hasNewRequests {
+			p.hasNewRequests = false
+			p.sendProbes(now)
+		}
+	}
+}
+
 // sortedKeys makes the order of messages independent of the order of a map.
 func sortedKeys(m map[uint64]time.Time) []uint64 { return slices.Sorted(maps.Keys(m)) }
--- a/coordinator/pool.go
+++ b/coordinator/pool.go
@@ -20,7 +20,8 @@
 	core        scheduler.Pool
 	createdAt   time.Time
 	lastRequest time.Time
-	updatedAt   time.Time
+	// hasNewRequests is set when a request has begun to wait since the last probes.
+	hasNewRequests bool
 	// early holds the requests that have arrived during warmUp.
 	early   []scheduler.Ask
 	entries map[string]*entry
@@ -151,6 +152,7 @@
 		return
 	}
 	p.decide(now, p.core.Ask(now, a))
+	p.hasNewRequests = true
 }
 
 // decide adds decisions to the next messages of their entries. One for an entry that is gone is withdrawn.
@@ -166,6 +168,9 @@
 		}
 		askedAt, waiting := e.waiting[d.ID]
 		if !waiting {
+			if d.Server != "" {
+				p.decide(now, p.core.Cancel(now, d.Key))
+			}
 			continue
 		}
 		delete(e.waiting, d.ID)
@@ -195,20 +200,17 @@
 	return nil
 }
 
-// tick does the periodic work. peers tells which hosts are known and which of them are alive.
-func (p *pool) tick(now time.Time, peers map[string]bool) {
+// forgetLost drops what waits for entries without a session. A session may become known just after its first message.
+func (p *pool) forgetLost(now time.Time) {
 	for name, e := range p.entries {
-		if alive, known := peers[name]; known && alive {
-			continue
-		}
-		// An entry without a session may have been heard just before the session is known.
-		if len(e.waiting) > 0 || now.Sub(e.heardAt) > entryRetention {
+		if !p.c.peers.Has(name) && now.Sub(e.heardAt) > updateInterval {
 			p.forget(now, e)
 		}
 	}
-	if now.Sub(p.updatedAt) >= updateInterval {
-		p.update(now)
-	}
+}
+
+// tick does the periodic work.
+func (p *pool) tick(now time.Time) {
 	if p.warm(now) {
 		early := p.early
 		p.early = nil
@@ -271,25 +273,27 @@
 	}
 	r.entry, r.at = entry, now
 	p.unusable[server] = r
-	p.update(now)
+	if now.Before(r.until) {
+		p.update(now, p.c.cfg.Servers())
+	}
 }
 
-// update reads the servers from the catalog and the state.
-func (p *pool) update(now time.Time) {
-	p.updatedAt = now
+// update replaces the servers by those of the catalog and applies the state.
+func (p *pool) update(now time.Time, records []cataloger.ServerRecord) {
 	st := p.c.cfg.State()
 	p.servers = make(map[string]sycamorevane.Server)
 	p.usable = 0
 	clear(p.ids)
 	var list []scheduler.Server
-	for _, record := range p.c.cfg.Servers() {
+	for i := range records {
+		record := &records[i]
 		s := &record.Server
 		if s.Service != p.service || s.DC != p.c.cfg.DC || record.Ended {
 			continue
 		}
 		number := dispatcher.ServerNumber(s.ID)
 		p.ids[number], p.servers[s.ID] = s.ID, *s
-		usable := isUsable(now, st, &record) && !now.Before(p.unusable[number].until)
+		usable := isUsable(now, st, record) && !now.Before(p.unusable[number].until)
 		if usable {
 			p.usable++
 		}
--- a/runner/discovery.go
+++ b/runner/discovery.go
@@ -33,6 +33,14 @@
 	Directory(addresses func(dc string) []string, ttl time.Duration) http.Handler
 	// Ready serves the readiness check of the entry.
 	Ready(ready func() bool) http.Handler
+	// Features returns the features that the platform requests by these names.
+	Features(contracts []string) Features
+}
+
+// Features are the optional features of a deployment.
+type Features struct {
+	// SharedPlacement lets control hosts place the requests of all entries of their data centre.
+	SharedPlacement bool
 }
 
 // ControlServices holds what the API of a control host for operators and backend servers is built from.
@@ -71,6 +79,7 @@
 	cfg      DiscoveryConfig
 	mesh     *messenger.Messenger
 	selector *controlSelector
+	features Features
 	metrics  *recorder.Metrics
 	entry    *discoveryEntry
 	control  *discoveryControl
@@ -111,7 +120,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	p = &DiscoveryProcess{cfg: cfg, mesh: mesh, selector: selector, metrics: recorder.NewMetrics(s.Name)}
+	p = &DiscoveryProcess{
+		cfg: cfg, mesh: mesh, selector: selector, metrics: recorder.NewMetrics(s.Name), features: cfg.Adapter.Features(s.Contracts),
+	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	if s.Control != nil {
 		if p.control, err = newDiscoveryControl(p); err != nil {
@@ -212,6 +223,11 @@
 		names = p.selector.selectTargets(time.Now(), names, alive)
 	}
 	wanted := sycamorevane.NewSet(names...)
+	if p.entry != nil && p.control == nil {
+		for _, name := range p.entry.schedulingHosts() {
+			wanted.Add(name)
+		}
+	}
 	delay := p.connectDelay
 	if !slices.ContainsFunc(names, alive.Has) {
 		delay = p.addSeeds(wanted, alive)
--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -16,6 +16,7 @@
 	"sycamorevane.example/sycamorevane/adopter"
 	"sycamorevane.example/sycamorevane/applier"
 	"sycamorevane.example/sycamorevane/cataloger"
+	"sycamorevane.example/sycamorevane/coordinator"
 	"sycamorevane.example/sycamorevane/encoder"
 	"sycamorevane.example/sycamorevane/persister"
 	"sycamorevane.example/sycamorevane/promoter"
@@ -47,13 +48,16 @@
 
 // discoveryControl is the control role of a DiscoveryProcess.
 type discoveryControl struct {
-	p                 *DiscoveryProcess
-	stateMachine      *applier.Machine
-	replicator        *replicator.Replicator
-	publisher         *publisher.Publisher
-	catalog           *cataloger.ControlCatalog
-	administrator     *administrator.Administrator
-	promoter          *promoter.Promoter
+	p             *DiscoveryProcess
+	stateMachine  *applier.Machine
+	replicator    *replicator.Replicator
+	publisher     *publisher.Publisher
+	catalog       *cataloger.ControlCatalog
+	administrator *administrator.Administrator
+	promoter      *promoter.Promoter
+	// coordinator and prober are nil without shared placement.
+	coordinator       *coordinator.Coordinator
+	prober            *coordinator.Prober
 	directory         *resolver.Directory
 	reads             readCoalescer
 	apiListener       net.Listener
@@ -106,6 +110,9 @@
 		State:    func() sycamorevane.State { return *c.stateMachine.State() },
 		Capacity: c.capacity, Submit: c.submit,
 	})
+	if p.features.SharedPlacement {
+		c.coordinator = newCoordinator(c)
+	}
 	if c.apiListener, err = net.Listen("tcp", s.Control.OperatorAddr); err != nil {
 		return nil, errors.Annotate(err, "control listener")
 	}
@@ -134,6 +141,9 @@
 	c.catalog.Start()
 	c.publisher.Start()
 	c.promoter.Start()
+	if c.coordinator != nil {
+		c.coordinator.Start()
+	}
 	c.p.wg.Go(c.watchState)
 	c.p.wg.Go(c.contactPushLoop)
 	c.p.wg.Go(c.adoptLoop)
@@ -201,11 +211,13 @@
 	names, members := c.directory.Names(), c.members()
 	leader, _, _ := c.replicator.Leader()
 	epoch, revision := c.catalog.Revision()
+	addNearby := c.addNearby(members)
 	return func(m *encoder.StatePush, entry string) {
 		m.Leader = leader
 		rank, entries := c.directory.Rank(names, entry)
 		m.Rank, m.Entries = uint32(rank), uint32(entries)
 		m.Members, m.Epoch, m.Revision = members, epoch, revision
+		addNearby(m, entry)
 	}
 }
 
@@ -423,6 +435,10 @@
 	for _, s := range c.servers {
 		_ = s.Shutdown(ctx)
 	}
+	if c.coordinator != nil {
+		c.coordinator.Close()
+		c.prober.Close()
+	}
 	c.promoter.Close()
 	c.publisher.Close()
 	c.catalog.Close()
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -15,6 +15,7 @@
 	"sycamorevane.example/sycamorevane"
 	"sycamorevane.example/sycamorevane/acceptor"
 	"sycamorevane.example/sycamorevane/cataloger"
+	"sycamorevane.example/sycamorevane/coordinator"
 	"sycamorevane.example/sycamorevane/dispatcher"
 	"sycamorevane.example/sycamorevane/encoder"
 	"sycamorevane.example/sycamorevane/forwarder"
@@ -70,13 +71,16 @@
 	forwarder         *forwarder.Forwarder
 	evidenceCollector *promoter.Collector
 	evidenceReporter  *promoter.Reporter
-	callerListener    net.Listener
-	readyListener     net.Listener
-	callerServer      *acceptor.Server
-	readyServer       *http.Server
-	sampler           *recorder.Sampler
-	rank              atomic.Int64
-	entryCount        atomic.Int64
+	// placement asks the schedulers; nil without shared placement. nearbyControls are the control hosts of this data centre.
+	placement      *coordinator.Client
+	nearbyControls atomic.Pointer[[]string]
+	callerListener net.Listener
+	readyListener  net.Listener
+	callerServer   *acceptor.Server
+	readyServer    *http.Server
+	sampler        *recorder.Sampler
+	rank           atomic.Int64
+	entryCount     atomic.Int64
 	// rankedAt is when a control host last sent the rank, in ns since the start of this process.
 	rankedAt     atomic.Int64
 	startedAt    time.Time
@@ -92,12 +96,19 @@
 	e.catalog = cataloger.NewFollower(cataloger.FollowerConfig{
 		Transport: p.mesh, Source: p.selector.currentSource, OnChange: func() { e.dispatcher.Update() }, Log: p.cfg.Log,
 	})
+	var placement dispatcher.Scheduler
+	if p.features.SharedPlacement {
+		e.placement = coordinator.NewClient(coordinator.ClientConfig{
+			Transport: p.mesh, DC: p.cfg.Settings.DC, Hosts: e.nearby, Log: p.cfg.Log, Metrics: p.metrics,
+		})
+		placement = e.placement
+	}
 	b := p.cfg.Settings.Bounds
 	e.dispatcher = dispatcher.New(dispatcher.Config{
 		DC: p.cfg.Settings.DC, Bounds: dispatcher.Bounds{ColdFactor: b.ColdFactor, ColdSlack: b.ColdSlack, DrainTime: b.DrainTime},
 		Servers: e.catalog.All, State: e.subscriber.State, Blocked: e.evidenceCollector.Blocked, EntryRank: e.entryRank, Isolated: e.isolated,
-		SendProbe: func(probe dispatcher.Probe) { go e.probe(probe) },
-		Log:       p.cfg.Log, Metrics: p.metrics,
+		SendProbe: func(probe dispatcher.Probe) { go e.probe(probe) }, Scheduler: placement,
+		Log: p.cfg.Log, Metrics: p.metrics,
 	})
 	e.forwarder = forwarder.New(forwarder.Config{
 		Self: p.cfg.Settings.Name, Limiter: e.dispatcher, State: e.subscriber.State, Dialect: p.cfg.Adapter.Dialect(),
@@ -156,6 +167,9 @@
 		return
 	}
 	e.p.setMembers(m.Members)
+	if e.placement != nil && len(m.Near) > 0 {
+		e.nearbyControls.Store(&m.Near)
+	}
 	if from != e.p.selector.currentSource() {
 		return
 	}
@@ -168,6 +182,10 @@
 func (e *discoveryEntry) start() {
 	e.subscriber.Start()
 	e.evidenceReporter.Start()
+	if e.placement != nil {
+		e.placement.Start()
+		e.p.wg.Go(e.schedulingHostLoop)
+	}
 	e.p.wg.Go(e.presenceLoop)
 	e.p.wg.Go(e.probeLoop)
 	e.readyServer = e.p.serveHTTP(e.readyListener, e.p.cfg.Adapter.Ready(e.accepting))
@@ -326,6 +344,9 @@
 	}
 	_ = e.readyServer.Close()
 	e.evidenceReporter.Close()
+	if e.placement != nil {
+		e.placement.Close()
+	}
 	e.forwarder.Close()
 	e.catalog.Close()
 	e.subscriber.Close()
