Compare designs of shared placement on the same arrivals

Cause: whether a scheduler for each data centre places requests better than each entry by itself was a hypothesis.

Change: RunDiscovery plays entries that share load reports, a scheduler for each data centre with message delays and batches, and a scheduler that knows everything, beside today's entries and the omniscient dispatcher; demand waves, connections reset by full servers, late values and the time of a probe are conditions.

--- a/simulator/discovery.go
+++ b/simulator/discovery.go
@@ -18,9 +18,12 @@
 	ServiceTimeSigma float64
 	// SoftTimeout and Timeout count from the caller's first attempt.
 	SoftTimeout, Timeout time.Duration
-	// Value is what a response within SoftTimeout is worth; a later one is worth a tenth of it.
-	Value    float64
-	Priority int
+	// Value is what a response within SoftTimeout is worth; a later one is worth LateValue, or a tenth of Value if that
+	// is 0.
+	Value, LateValue float64
+	Priority         int
+	// NotIdempotent is set when a request whose connection was reset must not be sent to another server.
+	NotIdempotent bool
 	// MaxRetries is how often a refused caller retries, each time after the advised delay.
 	MaxRetries int
 }
@@ -33,20 +36,47 @@
 	MeanInterval        time.Duration
 }
 
+// DemandWave varies the demand of each data centre by Depth, as a share of its mean, with Period and a phase of its own.
+type DemandWave struct {
+	Depth  float64
+	Period time.Duration
+}
+
+// Design is who places requests in a deployment with discovery.
+type Design string
+
+const (
+	// OwnView means that each entry places its requests by what it knows itself.
+	OwnView Design = "own view"
+	// SharedReports means that the entries of a data centre also exchange the load reports that they receive.
+	SharedReports Design = "shared reports"
+	// SchedulerPerDC means that one scheduler for each data centre grants its servers to the requests of its entries.
+	SchedulerPerDC Design = "scheduler"
+	// OmniscientDispatcher means that one entry takes all requests and knows the load of all servers at all times.
+	OmniscientDispatcher Design = "oracle"
+	// OmniscientScheduler means that one scheduler without message delays knows the load of all servers at all times.
+	OmniscientScheduler Design = "oracle scheduler"
+)
+
 // DiscoveryConditions are the conditions of one run of a deployment with discovery: the real dispatcher of each entry
 // against servers whose speed changes several times a second. RunDiscovery must be called in a testing/synctest bubble,
 // which makes its time virtual.
 type DiscoveryConditions struct {
 	// Entries is the number of entries that callers use. Entries and servers are spread over DCs data centres.
 	Entries, DCs, Servers, Slots int
-	// MaxQueued is the number of requests that may wait on a server; it refuses further ones.
-	MaxQueued int
+	// MaxQueued is the number of requests that may wait on a server; it refuses further ones. With ResetWhenFull it
+	// resets their connections instead.
+	MaxQueued     int
+	ResetWhenFull bool
 	// KneeShare is the share of the slots above which a request that starts takes KneeSlowdown times as long.
 	KneeShare, KneeSlowdown float64
 	Noise                   Noise
 	Kinds                   []RequestKind
-	// Oracle replaces the entries by one that knows the load of all servers at all times, as a central queue would.
-	Oracle bool
+	Wave                    DemandWave
+	// Design is OwnView if it is empty.
+	Design Design
+	// ProbeTime is how long a load probe takes within a data centre; 0 means 2 ms.
+	ProbeTime time.Duration
 	// WarmUp is not measured; Duration is the measured time after it.
 	WarmUp, Duration time.Duration
 	Seed             uint64
@@ -91,8 +121,8 @@
 	ValueShare, WorstValueShare float64
 	// Attempts counts the requests that reached servers, and Shed those that servers refused.
 	Attempts, Shed int
-	// Probes counts the load probes sent to servers.
-	Probes int
+	// Probes counts the load probes sent to servers, Messages those between entries and schedulers or between entries.
+	Probes, Messages int
 	// OverKneeShare is the share of busy slot time spent on requests that started above the knee.
 	OverKneeShare float64
 	// Latency is the time from a caller's first attempt to its response.
--- /dev/null
+++ b/simulator/discovery_design_test.go
@@ -0,0 +1,105 @@
+package simulator
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+)
+
+// censusConditions are the load of census (docs/design/hard-load.md) on one service of the given number of servers. Its
+// servers reset connections when they are full.
+func censusConditions(servers int) DiscoveryConditions {
+	return DiscoveryConditions{
+		Entries: 98, DCs: 3, Servers: servers, Slots: 3, MaxQueued: 6, ResetWhenFull: true, KneeShare: 0.8, KneeSlowdown: 1.7,
+		Noise: Noise{TimeShare: 0.275, Slowdown: 4, MeanInterval: 300 * time.Millisecond}, ProbeTime: 6 * time.Millisecond,
+		Kinds: []RequestKind{
+			{
+				Name: "lookup", Rate: 387, MeanServiceTime: 160 * time.Millisecond, ServiceTimeSigma: 0.3, MaxRetries: 2,
+				SoftTimeout: 400 * time.Millisecond, Timeout: 4 * time.Second, Value: 1.4, LateValue: 0.057,
+			},
+			{
+				Name: "submit", Rate: 181, MeanServiceTime: 210 * time.Millisecond, ServiceTimeSigma: 0.3, MaxRetries: 2,
+				SoftTimeout: 500 * time.Millisecond, Timeout: 6 * time.Second, Value: 1.5, LateValue: 0.15, Priority: 1, NotIdempotent: true,
+			},
+			{
+				Name: "archive", Rate: 68.3, MeanServiceTime: 130 * time.Millisecond, ServiceTimeSigma: 0.3, MaxRetries: 2,
+				SoftTimeout: time.Second, Timeout: 6 * time.Second, Value: 0.75, LateValue: 0.075, Priority: 1,
+			},
+			{
+				Name: "history", Rate: 90.6, MeanServiceTime: 640 * time.Millisecond, ServiceTimeSigma: 0.3, MaxRetries: 2,
+				SoftTimeout: 3 * time.Second, Timeout: 12 * time.Second, Value: 0.37, LateValue: 0.056, Priority: 2,
+			},
+		},
+		WarmUp: 2 * time.Second, Duration: 8 * time.Second, Seed: 1,
+	}
+}
+
+// gridcastConditions are the same for gridcast, whose demand varies by data centre and whose servers reject requests
+// when they are full.
+func gridcastConditions(servers int) DiscoveryConditions {
+	return DiscoveryConditions{
+		Entries: 83, DCs: 4, Servers: servers, Slots: 3, MaxQueued: 6, KneeShare: 0.8, KneeSlowdown: 1.7,
+		Noise: Noise{TimeShare: 0.275, Slowdown: 4, MeanInterval: 300 * time.Millisecond}, ProbeTime: 6 * time.Millisecond,
+		Wave: DemandWave{Depth: 0.55, Period: 15 * time.Second},
+		Kinds: []RequestKind{
+			{
+				Name: "read", Rate: 305, MeanServiceTime: 140 * time.Millisecond, ServiceTimeSigma: 0.3, MaxRetries: 2,
+				SoftTimeout: 400 * time.Millisecond, Timeout: 5 * time.Second, Value: 1, LateValue: 0.1,
+			},
+			{
+				Name: "order", Rate: 108, MeanServiceTime: 180 * time.Millisecond, ServiceTimeSigma: 0.3, MaxRetries: 2,
+				SoftTimeout: 500 * time.Millisecond, Timeout: 6 * time.Second, Value: 2, LateValue: 0.2, NotIdempotent: true,
+			},
+			{
+				Name: "push", Rate: 31.8, MeanServiceTime: 160 * time.Millisecond, ServiceTimeSigma: 0.3, MaxRetries: 2,
+				SoftTimeout: 1500 * time.Millisecond, Timeout: 10 * time.Second, Value: 2, LateValue: 0.2, NotIdempotent: true,
+			},
+			{
+				Name: "archive", Rate: 69.9, MeanServiceTime: 540 * time.Millisecond, ServiceTimeSigma: 0.3, MaxRetries: 2,
+				SoftTimeout: 1500 * time.Millisecond, Timeout: 15 * time.Second, Value: 1, LateValue: 0.1,
+			},
+		},
+		WarmUp: 2 * time.Second, Duration: 15 * time.Second, Seed: 1,
+	}
+}
+
+// compareDesigns are the designs in the order of the comparison.
+var compareDesigns = []Design{OwnView, SharedReports, SchedulerPerDC, OmniscientDispatcher, OmniscientScheduler}
+
+// TestDesigns compares the designs of shared placement on the same arrivals; the results are in
+// docs/design/scheduling.md.
+func TestDesigns(t *testing.T) {
+	if os.Getenv("BENCH") == "" {
+		t.Skip("measures for minutes; set BENCH=1")
+	}
+	for _, deployment := range []struct {
+		name       string
+		servers    int
+		conditions func(int) DiscoveryConditions
+	}{{"census", 109, censusConditions}, {"census", 67, censusConditions}, {"gridcast", 101, gridcastConditions}, {"gridcast", 13, gridcastConditions}} {
+		for _, load := range []float64{0.6, 0.9, 1.2} {
+			for _, seed := range []uint64{1, 2} {
+				t.Run(fmt.Sprintf("%s/%d/%v/%d", deployment.name, deployment.servers, load, seed), func(t *testing.T) {
+					for _, design := range compareDesigns {
+						o := deployment.conditions(deployment.servers)
+						o.SetLoad(load)
+						o.Seed, o.Design = seed, design
+						t.Log(describe(&o, runInBubble(t, o)))
+					}
+				})
+			}
+		}
+	}
+}
+
+// describe formats the result of a design in one line.
+func describe(o *DiscoveryConditions, r DiscoveryResult) string {
+	line := fmt.Sprintf("%-17s value %.3f worst %.3f rejected by servers %d probes/s %.0f messages/s %.0f;", o.Design, r.ValueShare,
+		r.WorstValueShare, r.Shed, float64(r.Probes)/(o.WarmUp+o.Duration).Seconds(), float64(r.Messages)/(o.WarmUp+o.Duration).Seconds())
+	for i := range o.Kinds {
+		k := r.Kinds[o.Kinds[i].Name]
+		line += fmt.Sprintf(" %s %d/%d/%d", o.Kinds[i].Name, k.OnTime, k.Late, k.Refused)
+	}
+	return line
+}
--- a/simulator/discovery_simulation.go
+++ b/simulator/discovery_simulation.go
@@ -29,6 +29,8 @@
 	probeInterval = 20 * time.Millisecond
 	// serviceName is the only service of the model.
 	serviceName = "registry"
+	// noRetry is the Retry-After of a request that may have run and that the caller must not repeat.
+	noRetry = time.Hour
 	// maxAttempts is the largest number of servers that one request is sent to.
 	maxAttempts = 3
 )
@@ -36,13 +38,16 @@
 // discoverySimulation is the state of one run.
 type discoverySimulation struct {
 	DiscoveryConditions
-	mu        sync.Mutex
-	rand      *rand.Rand
-	servers   []*simulatedServer
-	entries   []*simulatedEntry
-	state     *sycamorevane.State
-	startedAt time.Time
-	res       DiscoveryResult
+	mu      sync.Mutex
+	rand    *rand.Rand
+	servers []*simulatedServer
+	byID    map[string]*simulatedServer
+	entries []*simulatedEntry
+	// schedulers holds the scheduler of each data centre by its name.
+	schedulers map[string]*simulatedScheduler
+	state      *sycamorevane.State
+	startedAt  time.Time
+	res        DiscoveryResult
 	// offeredValue and earnedValue are the value of the requests and of their responses, per measured second.
 	offeredValue, earnedValue []float64
 	calls                     sync.WaitGroup
@@ -57,6 +62,8 @@
 type simulatedEntry struct {
 	dc         string
 	dispatcher *dispatcher.Dispatcher
+	// scheduler is nil when the entry places its requests itself.
+	scheduler *schedulerSession
 }
 
 // simulatedServer is a backend server; discoverySimulation.mu guards it.
@@ -86,11 +93,17 @@
 	seconds := int(o.Duration/time.Second) + 1
 	sim.offeredValue, sim.earnedValue = make([]float64, seconds), make([]float64, seconds)
 	sim.build()
+	sim.buildSchedulers()
 	ctx, stop := context.WithCancel(context.Background())
 	var background sync.WaitGroup
 	background.Go(func() { sim.serverLoop(ctx) })
 	for _, e := range sim.entries {
-		background.Go(func() { sim.probeLoop(ctx, e) })
+		if e.scheduler == nil {
+			background.Go(func() { sim.probeLoop(ctx, e) })
+		}
+	}
+	for _, s := range sim.schedulers {
+		background.Go(func() { s.tickLoop(ctx) })
 	}
 	var arrivals sync.WaitGroup
 	for i := range o.Kinds {
@@ -110,6 +123,7 @@
 func dcName(i int) string { return fmt.Sprintf("dc-%d", i) }
 
 func (sim *discoverySimulation) build() {
+	sim.byID = make(map[string]*simulatedServer)
 	sim.state = &sycamorevane.State{Version: 1, Config: sycamorevane.Config{
 		SequenceNumber: 1, Services: []sycamorevane.Service{{Name: serviceName, HealthPath: "/health"}},
 	}}
@@ -120,6 +134,7 @@
 	for i := range sim.Servers {
 		s := &simulatedServer{id: fmt.Sprintf("s%d", i), dc: dcName(i % sim.DCs), slowdown: 1}
 		sim.servers = append(sim.servers, s)
+		sim.byID[s.id] = s
 		catalog = append(catalog, cataloger.ServerRecord{
 			Report: cataloger.Report{Server: sycamorevane.Server{
 				ID: s.id, InstanceName: s.id, Service: serviceName, Addr: s.id, DC: s.dc, Slots: sim.Slots,
@@ -128,7 +143,7 @@
 		})
 	}
 	n := sim.Entries
-	if sim.Oracle {
+	if sim.omniscient() {
 		n = 1
 	}
 	for i := range n {
@@ -138,7 +153,7 @@
 			State:     func() *sycamorevane.State { return sim.state },
 			EntryRank: func() (int, int) { return i, n }, Log: logr.Discard(),
 		}
-		if !sim.Oracle {
+		if !sim.omniscient() {
 			cfg.SendProbe = func(p dispatcher.Probe) { sim.probes.Go(func() { sim.probe(e, p.Server) }) }
 		}
 		e.dispatcher = dispatcher.New(cfg)
@@ -147,29 +162,45 @@
 	}
 }
 
+// omniscient reports whether one entry knows the load of all servers at all times.
+func (sim *discoverySimulation) omniscient() bool {
+	return sim.Design == OmniscientDispatcher || sim.Design == OmniscientScheduler
+}
+
 // generateCalls starts calls of one kind with exponentially distributed gaps.
 func (sim *discoverySimulation) generateCalls(k *RequestKind, r *rand.Rand) {
 	end := sim.startedAt.Add(sim.WarmUp + sim.Duration)
 	for {
-		time.Sleep(time.Duration(r.ExpFloat64() / k.Rate * float64(time.Second)))
+		time.Sleep(time.Duration(r.ExpFloat64() / (k.Rate * (1 + sim.Wave.Depth)) * float64(time.Second)))
 		now := time.Now()
 		if !now.Before(end) {
 			return
 		}
 		serviceTime := time.Duration(float64(k.MeanServiceTime) * math.Exp(
 			k.ServiceTimeSigma*r.NormFloat64()-k.ServiceTimeSigma*k.ServiceTimeSigma/2))
-		e := sim.entries[r.IntN(len(sim.entries))]
+		// The numbers are drawn in the same way for all designs, so that they get the same arrivals.
+		i := r.IntN(sim.Entries)
+		if sim.Wave.Depth > 0 && r.Float64() > sim.relativeDemand(i%sim.DCs, now)/(1+sim.Wave.Depth) {
+			continue
+		}
+		e := sim.entries[i%len(sim.entries)]
 		sim.calls.Go(func() { sim.sendCall(k, e, serviceTime, now) })
 	}
 }
 
+// relativeDemand is the demand of a data centre relative to its mean.
+func (sim *discoverySimulation) relativeDemand(dc int, now time.Time) float64 {
+	phase := now.Sub(sim.startedAt).Seconds()/sim.Wave.Period.Seconds() + float64(dc)/float64(sim.DCs)
+	return 1 + sim.Wave.Depth*math.Sin(2*math.Pi*phase)
+}
+
 // sendCall sends one call of a caller, with its retries.
 func (sim *discoverySimulation) sendCall(k *RequestKind, e *simulatedEntry, serviceTime time.Duration, startedAt time.Time) {
 	deadline := startedAt.Add(k.Timeout)
 	for attempt := 0; ; attempt++ {
 		time.Sleep(callerDelay)
 		sent := time.Now()
-		ok, retryAfter := sim.forward(k, e, serviceTime, startedAt)
+		ok, retryAfter := sim.forward(k, e, serviceTime, startedAt, attempt > 0)
 		if !ok {
 			sim.mu.Lock()
 			_ = sim.res.RefusalTime.RecordValue(time.Since(sent).Microseconds())
@@ -186,7 +217,7 @@
 
 // forward acts as an entry for one request. Servers that refused it are excluded from the next choice.
 func (sim *discoverySimulation) forward(
-	k *RequestKind, e *simulatedEntry, serviceTime time.Duration, startedAt time.Time,
+	k *RequestKind, e *simulatedEntry, serviceTime time.Duration, startedAt time.Time, returned bool,
 ) (ok bool, retryAfter time.Duration) {
 	req := sycamorevane.Request{
 		Service: serviceName, Route: k.Name, Priority: k.Priority,
@@ -194,6 +225,9 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
 	defer cancel()
+	if e.scheduler != nil {
+		return sim.forwardScheduled(ctx, k, e, &req, serviceTime, returned)
+	}
 	for range maxAttempts {
 		g, err := e.dispatcher.Acquire(ctx, req)
 		if err != nil {
@@ -213,9 +247,13 @@
 		}
 		o.Route, o.Latency = k.Name, time.Since(sent)
 		e.dispatcher.Release(g, o)
+		sim.shareReport(e, g.Server, o.Load, o.Kind == sycamorevane.OutcomeOK)
 		if o.Kind == sycamorevane.OutcomeOK {
 			return true, 0
 		}
+		if o.Kind == sycamorevane.OutcomeIncomplete && k.NotIdempotent {
+			return false, noRetry
+		}
 		req.ExcludedServers = append(req.ExcludedServers, g.Server.ID)
 	}
 	return false, time.Second
@@ -232,6 +270,10 @@
 		sim.startJob(s, j)
 	case len(s.waiting) < sim.MaxQueued:
 		s.waiting = append(s.waiting, j)
+	case sim.ResetWhenFull:
+		sim.res.Shed++
+		sim.mu.Unlock()
+		return sycamorevane.Outcome{Kind: sycamorevane.OutcomeIncomplete}
 	default:
 		sim.res.Shed++
 		l := s.loadReport(sim.Slots)
@@ -243,19 +285,14 @@
 }
 
 func (sim *discoverySimulation) findServer(id string) *simulatedServer {
-	for _, s := range sim.servers {
-		if s.id == id {
-			return s
-		}
-	}
-	return nil
+	return sim.byID[id]
 }
 
 func (s *simulatedServer) loadReport(slots int) *sycamorevane.LoadReport {
 	return &sycamorevane.LoadReport{Running: len(s.running), Waiting: len(s.waiting), Slots: slots, Slowdown: s.slowdown}
 }
 
-// serverLoop advances all servers by one quantum per tick. With Oracle it also reports their load to the only entry.
+// serverLoop advances all servers by one quantum per tick. With OmniscientDispatcher it also reports their load to the only entry.
 func (sim *discoverySimulation) serverLoop(ctx context.Context) {
 	t := time.NewTicker(quantum)
 	defer t.Stop()
@@ -266,7 +303,7 @@
 			for _, s := range sim.servers {
 				sim.advance(s, now)
 			}
-			if sim.Oracle {
+			if sim.Design == OmniscientDispatcher {
 				for _, s := range sim.servers {
 					sim.entries[0].dispatcher.HandleProbeResult(now, s.id, dispatcher.ProbeResult{
 						Answered: true, Load: s.loadReport(sim.Slots), ColdRemaining: -1,
@@ -274,6 +311,9 @@
 				}
 			}
 			sim.mu.Unlock()
+			if sim.Design == OmniscientScheduler {
+				sim.reportAll(now)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -342,7 +382,7 @@
 }
 
 func (sim *discoverySimulation) probe(e *simulatedEntry, srv sycamorevane.Server) {
-	delay := time.Millisecond
+	delay := cmp.Or(sim.ProbeTime, 2*time.Millisecond) / 2
 	if srv.DC != e.dc {
 		delay += interDCDelay
 	}
@@ -353,6 +393,7 @@
 	sim.mu.Unlock()
 	time.Sleep(delay)
 	e.dispatcher.HandleProbeResult(time.Now(), srv.ID, dispatcher.ProbeResult{Answered: true, Load: l, ColdRemaining: -1})
+	sim.shareReport(e, srv, l, false)
 }
 
 // recordCall records how a call ended, in the second in which it arrived.
@@ -377,7 +418,7 @@
 		sim.earnedValue[second] += k.Value
 	case ok:
 		r.Late++
-		sim.earnedValue[second] += k.Value / 10
+		sim.earnedValue[second] += cmp.Or(k.LateValue, k.Value/10)
 	default:
 		r.Refused++
 	}
--- a/simulator/discovery_targets_test.go
+++ b/simulator/discovery_targets_test.go
@@ -41,7 +41,7 @@
 				o.Entries, o.Slots, o.MaxQueued = 3, s.slots, 2*s.slots
 				o.SetLoad(float64(load) / 100)
 				own, _, valueShare := runSeeds(t, o)
-				o.Oracle = true
+				o.Design = OmniscientDispatcher
 				central, _, centralValueShare := runSeeds(t, o)
 				reporter.Record(t, reporter.Measurement{
 					Area: "open deployments", Unit: "x", Bound: reporter.AtMost, Target: maxP99Ratios[load],
--- a/simulator/discovery_test.go
+++ b/simulator/discovery_test.go
@@ -61,7 +61,7 @@
 // Guards against a reference that makes the entries' mistakes: the oracle must keep every server below its knee.
 func TestOpenOracleStaysBelowTheKnee(t *testing.T) {
 	o := lookupConditions(12)
-	o.Oracle = true
+	o.Design = OmniscientDispatcher
 	o.SetLoad(0.9)
 	require.Zero(t, runInBubble(t, o).OverKneeShare)
 }
@@ -96,7 +96,7 @@
 		}
 		o.SetLoad(load)
 		own := runInBubble(t, o)
-		o.Oracle = true
+		o.Design = OmniscientDispatcher
 		central := runInBubble(t, o)
 		require.Less(t, float64(own.Latency.ValueAtPercentile(99)), target*float64(central.Latency.ValueAtPercentile(99)), "p99 at load %v", load)
 	}
