End what a scheduler counts as running when its entry no longer lists it

The end of a request was lost when its message was lost, and the scheduler counted the request until its deadline, or for five minutes without one. Entries list all that runs once a second while something happens.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -35,6 +35,8 @@
 	// maxTickSilence is the largest part of the silence that is counted for one tick. On a host that was frozen or had no
 	// processor time itself, the messages of the scheduler are still unread.
 	maxTickSilence = 2 * tickInterval
+	// completeInterval is how often the entry reports all that runs, so that a lost report of an end is noticed.
+	completeInterval = time.Second
 	// maxPending limits the requests of a service that wait at the scheduler; further ones are placed by the entry.
 	maxPending = 256
 	// maxReportItems is the number of unsent reports from which a message is sent at once.
@@ -94,6 +96,8 @@
 	// startedAt holds when each of them was sent.
 	startedAt map[uint64]time.Time
 	out       *encoder.ScheduleAsk
+	// changed is set when a request has started or ended since the last report of all that runs.
+	changed bool
 	// unsentSince is when the oldest unsent report was added.
 	unsentSince time.Time
 }
@@ -217,7 +221,7 @@
 
 // reportRunning reports all running requests to a scheduler that does not know them.
 func (c *Client) reportRunning(p *clientPool, now time.Time) {
-	p.out.Started = p.out.Started[:0]
+	p.changed, p.out.Complete, p.out.Started = false, true, p.out.Started[:0]
 	for id, s := range p.running {
 		s.Age = milliseconds(now.Sub(p.startedAt[id]))
 		p.out.Started = append(p.out.Started, s)
@@ -376,6 +380,7 @@
 
 // addReport schedules the sending of a report that was added to p.out.
 func (c *Client) addReport(p *clientPool, now time.Time) {
+	p.changed = true
 	if p.unsentSince.IsZero() {
 		p.unsentSince = now
 		c.signal()
@@ -393,7 +398,7 @@
 // is told what runs then.
 func (c *Client) flush(p *clientPool, now time.Time) {
 	p.unsentSince = time.Time{}
-	if reportCount(p.out) == 0 {
+	if reportCount(p.out) == 0 && !p.out.Complete {
 		return
 	}
 	if p.host != "" {
@@ -418,26 +423,39 @@
 func (c *Client) loop() {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
+	complete := time.NewTicker(completeInterval)
+	defer complete.Stop()
+	last := time.Now()
+	ticking := false
 	for {
 		select {
 		case <-c.wake:
-		case <-c.ctx.Done():
-			return
-		}
-		t.Reset(tickInterval)
-		for last := time.Now(); ; {
-			select {
-			case <-t.C:
-			case <-c.ctx.Done():
-				return
+			if !ticking {
+				ticking, last = true, time.Now()
+				t.Reset(tickInterval)
 			}
+		case <-t.C:
 			now := time.Now()
-			if !c.tick(now, min(now.Sub(last), maxTickSilence)) {
-				break
+			if ticking = c.tick(now, min(now.Sub(last), maxTickSilence)); !ticking {
+				t.Stop()
 			}
 			last = now
+		case now := <-complete.C:
+			c.reportAll(now)
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+// reportAll reports all that runs to each scheduler, unless nothing has happened and nothing runs.
+func (c *Client) reportAll(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		if p.changed || len(p.running) > 0 {
+			c.reportRunning(p, now)
 		}
-		t.Stop()
 	}
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -34,6 +34,9 @@
 	warmUp = 50 * time.Millisecond
 	// poolRetention is how long a pool without requests is kept.
 	poolRetention = time.Minute
+	// minUnlistedAge is the age from which a grant that the entry does not list as running has ended. It is far longer than
+	// messages take between hosts that work.
+	minUnlistedAge = 500 * time.Millisecond
 	// maxInbox limits the messages that wait for the goroutine, maxBatch those that it handles before it sends decisions.
 	maxInbox = 2048
 	maxBatch = 64
@@ -183,7 +186,7 @@
 	}
 	p.update(now, c.cfg.Servers())
 	c.pools[service] = p
-	c.cfg.Log.Info("pool created", "service", service, "servers", p.usable)
+	c.cfg.Log.Info("pool created", "service", service, "servers", len(p.usable))
 	return p
 }
 
--- a/coordinator/pool.go
+++ b/coordinator/pool.go
@@ -28,8 +28,8 @@
 	// ids maps the numbers of servers to their IDs, servers their IDs to what is known of them.
 	ids     map[uint32]string
 	servers map[string]sycamorevane.Server
-	// usable is the number of servers that may be granted.
-	usable   int
+	// usable holds the numbers of the servers that may be granted.
+	usable   sycamorevane.Set[uint32]
 	unusable map[uint32]returnedServer
 	wasBusy  bool
 }
@@ -41,7 +41,9 @@
 	// key identifies the start in scheduler.Key.
 	key string
 	// waiting holds when each waiting request has arrived.
-	waiting   map[uint64]time.Time
+	waiting map[uint64]time.Time
+	// running holds when each request began that the pool counts as running.
+	running   map[uint64]time.Time
 	decisions []*encoder.ScheduleDecision
 	sentAt    time.Time
 	heardAt   time.Time
@@ -69,7 +71,14 @@
 
 func (p *pool) apply(now time.Time, from string, m *encoder.ScheduleAsk) {
 	e := p.entry(now, from, m.Boot)
+	if m.Complete {
+		p.endUnlisted(now, e, m.Started)
+	}
 	for _, s := range m.Started {
+		if _, known := e.running[s.Id]; known {
+			continue
+		}
+		e.running[s.Id] = now
 		p.core.Start(now, scheduler.Start{
 			Key: scheduler.Key{Entry: e.key, ID: s.Id}, Server: p.ids[s.Server], Route: s.Route,
 			Work: time.Duration(s.Work) * time.Millisecond, At: now.Add(-time.Duration(s.Age) * time.Millisecond),
@@ -79,6 +88,7 @@
 		p.withdraw(now, e, id)
 	}
 	for _, f := range m.Finished {
+		delete(e.running, f.Id)
 		p.decide(now, p.core.Finish(now, scheduler.Finish{
 			Key: scheduler.Key{Entry: e.key, ID: f.Id}, Server: p.ids[f.Server], Route: f.Route,
 			Kind: sycamorevane.OutcomeKind(f.Kind), Latency: time.Duration(f.Latency) * time.Millisecond, Load: decodeLoad(f.Load),
@@ -99,7 +109,7 @@
 		if e != nil {
 			p.forget(now, e)
 		}
-		e = &entry{name: name, boot: boot, key: name + "#" + strconv.FormatUint(uint64(boot), 36), waiting: make(map[uint64]time.Time)}
+		e = &entry{name: name, boot: boot, key: name + "#" + strconv.FormatUint(uint64(boot), 36), waiting: make(map[uint64]time.Time), running: make(map[uint64]time.Time)}
 		p.entries[name] = e
 	}
 	e.heardAt = now
@@ -125,6 +135,7 @@
 
 func (p *pool) withdraw(now time.Time, e *entry, id uint64) {
 	delete(e.waiting, id)
+	delete(e.running, id)
 	key := scheduler.Key{Entry: e.key, ID: id}
 	p.dropEarly(func(a *scheduler.Ask) bool { return a.Key == key })
 	p.decide(now, p.core.Cancel(now, key))
@@ -132,7 +143,7 @@
 
 func (p *pool) ask(now time.Time, e *entry, r *encoder.ScheduleRequest) {
 	p.lastRequest = now
-	if p.usable == 0 {
+	if !p.canGrant(r.Excluded) {
 		e.decisions = append(e.decisions, &encoder.ScheduleDecision{Id: r.Id})
 		return
 	}
@@ -155,6 +166,17 @@
 	p.hasNewRequests = true
 }
 
+// canGrant reports whether a server may be granted to a request with these excluded servers.
+func (p *pool) canGrant(excluded []uint32) bool {
+	n := len(p.usable)
+	for _, number := range excluded {
+		if p.usable.Has(number) {
+			n--
+		}
+	}
+	return n > 0
+}
+
 // decide adds decisions to the next messages of their entries. One for an entry that is gone is withdrawn.
 func (p *pool) decide(now time.Time, decisions []scheduler.Decision) {
 	for i := range decisions {
@@ -175,10 +197,27 @@
 		}
 		delete(e.waiting, d.ID)
 		p.c.wait.RecordDuration(now.Sub(askedAt))
+		if d.Server != "" {
+			e.running[d.ID] = now
+		}
 		e.decisions = append(e.decisions, p.encode(d))
 	}
 }
 
+// endUnlisted ends the requests that no longer run according to a complete list of the entry. Grants that may not have been
+// received when the list was sent are kept.
+func (p *pool) endUnlisted(now time.Time, e *entry, listed []*encoder.ScheduleStart) {
+	ids := make(map[uint64]bool, len(listed))
+	for _, s := range listed {
+		ids[s.Id] = true
+	}
+	for id, at := range e.running {
+		if !ids[id] && now.Sub(at) > minUnlistedAge {
+			p.withdraw(now, e, id)
+		}
+	}
+}
+
 func (p *pool) encode(d *scheduler.Decision) *encoder.ScheduleDecision {
 	if d.Server != "" {
 		p.c.granted.Inc(1)
@@ -259,7 +298,7 @@
 	e.decisions = nil
 	for _, d := range unsent {
 		if d.Server != 0 {
-			p.decide(now, p.core.Cancel(now, scheduler.Key{Entry: e.key, ID: d.Id}))
+			p.withdraw(now, e, d.Id)
 		}
 	}
 }
@@ -282,7 +321,7 @@
 func (p *pool) update(now time.Time, records []cataloger.ServerRecord) {
 	st := p.c.cfg.State()
 	p.servers = make(map[string]sycamorevane.Server)
-	p.usable = 0
+	p.usable = sycamorevane.NewSet[uint32]()
 	clear(p.ids)
 	var list []scheduler.Server
 	for i := range records {
@@ -295,7 +334,7 @@
 		p.ids[number], p.servers[s.ID] = s.ID, *s
 		usable := isUsable(now, st, record) && !now.Before(p.unusable[number].until)
 		if usable {
-			p.usable++
+			p.usable.Add(number)
 		}
 		list = append(list, scheduler.Server{ID: s.ID, Slots: s.Slots, Usable: usable})
 	}
