--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -71,6 +71,8 @@
 	ctx    context.Context
 	inbox  chan message
 	probed chan probeResult
+	// queries holds functions to be run by the goroutine.
+	queries chan func()
 	// probeSlots holds one element per running probe.
 	probeSlots chan struct{}
 	pools      map[string]*pool
@@ -99,7 +101,8 @@
 	}
 	m := cfg.Metrics.SubScope("scheduler")
 	c := &Coordinator{
-		cfg: cfg, inbox: make(chan message, maxInbox), probed: make(chan probeResult, maxProbes), probeSlots: make(chan struct{}, maxProbes),
+		cfg: cfg, inbox: make(chan message, maxInbox), probed: make(chan probeResult, maxProbes),
+		queries: make(chan func()), probeSlots: make(chan struct{}, maxProbes),
 		pools: make(map[string]*pool),
 		asked: m.Counter("asked"), granted: m.Counter("granted"), rejected: m.Counter("rejected"), dropped: m.Counter("dropped"),
 		probes: m.Counter("probes"), wait: m.Histogram("wait", waitBuckets),
@@ -118,6 +121,25 @@
 	c.wg.Wait()
 }
 
+// Summary describes the pool of a service. It returns false if this host is not asked for the service, or after Close.
+func (c *Coordinator) Summary(service string) (scheduler.Summary, bool) {
+	var summary scheduler.Summary
+	found := false
+	done := make(chan struct{})
+	query := func() {
+		defer close(done)
+		if p := c.pools[service]; p != nil {
+			summary, found = p.core.Summary(time.Now()), true
+		}
+	}
+	select {
+	case c.queries <- query:
+		<-done
+	case <-c.ctx.Done():
+	}
+	return summary, found
+}
+
 // handle passes a message on to the goroutine. It is dropped when the goroutine does not keep up; the entry then places its
 // requests itself.
 func (c *Coordinator) handle(from string, m proto.Message) proto.Message {
@@ -144,6 +166,8 @@
 			c.sendProbes(time.Now())
 		case r := <-c.probed:
 			c.applyProbe(time.Now(), r)
+		case query := <-c.queries:
+			query()
 		case <-t.C:
 			t.Reset(c.tick(time.Now()))
 		case <-c.ctx.Done():
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -78,17 +78,18 @@
 	}
 	link := [2]string{e.name, to}
 	if e.links[link] == nil {
-		e.links[link] = make(chan proto.Message, 1000)
-		go e.deliver(link)
+		messages := make(chan proto.Message, 1000)
+		e.links[link] = messages
+		go e.deliver(link, messages)
 	}
 	e.links[link] <- proto.Clone(m)
 	return nil
 }
 
-func (n *network) deliver(link [2]string) {
+func (n *network) deliver(link [2]string, messages <-chan proto.Message) {
 	for {
 		select {
-		case m := <-n.links[link]:
+		case m := <-messages:
 			time.Sleep(networkDelay)
 			n.mu.Lock()
 			h := n.handlers[link[1]][encoder.Kind(m)]
@@ -202,10 +203,12 @@
 	return ranked[0], ranked[1]
 }
 
-// summary describes the pool on a host. It must be called only while no messages are under way.
+// summary describes the pool on a host after all messages that have arrived.
 func (s *setup) summary(host string) scheduler.Summary {
 	synctest.Wait()
-	return s.controls[host].pools[serviceName].core.Summary(time.Now())
+	summary, found := s.controls[host].Summary(serviceName)
+	require.True(s.t, found)
+	return summary
 }
 
 func (s *setup) setLost(lost func(from, to string) bool) {
