--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -189,7 +189,7 @@
 		c.endRun(s.Key)
 	}
 	if server := c.servers[s.Server]; server != nil {
-		slowdown = server.expectedSlowdown(now, c.slowdownMean())
+		slowdown = server.hostSlowdown(now, c.slowdownMean()) * server.startSlowdown(now)
 	}
 	work := c.workOf(&Ask{Route: s.Route, Work: s.Work})
 	c.addRun(s.Key, &run{server: s.Server, route: s.Route, slowdown: slowdown, expiresAt: expiresAt}, s.At, work)
@@ -423,49 +423,55 @@
 // choose returns the server of the lowest cost if the request is to start there now.
 func (c *Core) choose(now time.Time, w *waiter) *server {
 	var best *server
-	bestCost, bestSlowdown := 0.0, 0.0
+	var bestCost, bestHost, bestStart float64
 	congested := c.congested(now)
 	mean := c.slowdownMean()
+	free := 0
 	for _, s := range c.list {
 		if !s.hasRoom(now, c.reportsLoad, congested) || slices.Contains(w.ExcludedServers, s.ID) {
 			continue
 		}
-		slowdown := s.expectedSlowdown(now, mean)
-		if cost := s.cost(now, slowdown) * (1 + costJitter*c.cfg.Rand.Float64()); best == nil || cost < bestCost {
-			best, bestCost, bestSlowdown = s, cost, slowdown
+		free++
+		host, start := s.hostSlowdown(now, mean), s.startSlowdown(now)
+		if cost := s.cost(now, host*start) * (1 + costJitter*c.cfg.Rand.Float64()); best == nil || cost < bestCost {
+			best, bestCost, bestHost, bestStart = s, cost, host, start
 		}
 	}
-	if best == nil || !c.accepts(now, w, bestSlowdown) {
+	if best == nil || !c.accepts(now, w, bestHost, bestStart, free) {
 		return nil
 	}
 	return best
 }
 
-// accepts reports whether the request starts on a server of the expected slowdown, rather than waiting for a faster one:
-// on a slow host it takes a slot for several times as long as it would wait for a fast one.
-func (c *Core) accepts(now time.Time, w *waiter, slowdown float64) bool {
+// accepts reports whether the request starts on a server of the expected slowdowns, rather than waiting for a faster
+// one: on a slow host it takes a slot for several times as long as it would wait for a fast one. free is the number of
+// servers that have room.
+func (c *Core) accepts(now time.Time, w *waiter, host, start float64, free int) bool {
+	onSlow := time.Duration(host * start * float64(w.work))
 	switch {
-	case slowdown <= fastSlowdown:
+	case start > 1 && !w.late && !w.SoftDeadline.IsZero() && now.Add(onSlow).After(w.SoftDeadline):
+		return false
+	case host <= fastSlowdown:
 		return true
 	case c.reportsLoad && now.Before(w.freshUntil):
 		return false
-	case slowdown <= goodSlowdown:
+	case host <= goodSlowdown:
 		return true
 	}
-	onSlow := time.Duration(slowdown * float64(w.work))
 	if w.late {
 		return now.Sub(w.arrivedAt) > slowdownDecay && (w.Deadline.IsZero() || !now.Add(onSlow).After(w.Deadline))
 	}
 	if w.SoftDeadline.IsZero() {
 		return now.Sub(w.arrivedAt) > slowdownDecay
 	}
-	// It starts on a slow host in time only if there is no time left to wait for a fast one.
+	// It starts on a slow host in time only if there is no time left to wait for a fast one, and if other requests do not
+	// need the place more.
 	latestSlowStart := w.SoftDeadline.Add(-time.Duration(workMargin * float64(onSlow)))
-	return !c.congested(now) && now.Before(latestSlowStart) && now.Add(freshReportWait).After(latestSlowStart)
+	return c.inTime.count <= free && now.Before(latestSlowStart) && now.Add(freshReportWait).After(latestSlowStart)
 }
 
 func (c *Core) grant(now time.Time, w *waiter, s *server) {
-	slowdown := s.expectedSlowdown(now, c.slowdownMean())
+	slowdown := s.hostSlowdown(now, c.slowdownMean()) * s.startSlowdown(now)
 	expiresAt := now.Add(defaultRunTime)
 	if !w.Deadline.IsZero() {
 		expiresAt = w.Deadline.Add(endSlack)
--- a/scheduler/probe.go
+++ b/scheduler/probe.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		if now.Sub(s.reportedAt) > freshReportAge && s.hasRoom(now, c.reportsLoad, c.congested(now)) && s.hasProbeToken(now) {
-			candidates = append(candidates, candidate{s, s.expectedSlowdown(now, c.slowdownMean())})
+			candidates = append(candidates, candidate{s, s.hostSlowdown(now, c.slowdownMean()) * s.startSlowdown(now)})
 		}
 	}
 	n := min(len(candidates), min(maxProbes, waiting)-running)
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -118,13 +118,17 @@
 	return s.occupied(now)+0.5 < float64(s.limit(now, congested))
 }
 
-// expectedSlowdown is the expected time of a request that starts now, relative to that on an idle host.
-func (s *server) expectedSlowdown(now time.Time, mean float64) float64 {
-	slowdown := mean + (s.slowdown-mean)*decay(now.Sub(s.reportedAt), slowdownDecay)
-	if slots := max(1, s.Slots); slots > 1 && s.occupied(now)+1 > kneeShare*float64(slots)+0.5 {
-		slowdown *= kneeSlowdown
+// hostSlowdown is the expected slowdown of the server's host.
+func (s *server) hostSlowdown(now time.Time, mean float64) float64 {
+	return mean + (s.slowdown-mean)*decay(now.Sub(s.reportedAt), slowdownDecay)
+}
+
+// startSlowdown is the factor by which a request takes longer if it starts at the present load of the server.
+func (s *server) startSlowdown(now time.Time) float64 {
+	if s.Slots > 1 && math.Round(s.occupied(now))+1 > kneeShare*float64(s.Slots) {
+		return kneeSlowdown
 	}
-	return slowdown
+	return 1
 }
 
 // cost orders the servers for a request, given its expected slowdown there.
