--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -41,6 +41,9 @@
 	// further edgeStep one more request is tried, so that a single rejection costs little.
 	edgeRetention = 2 * time.Second
 	edgeStep      = time.Second
+	// reorderWindow is how much later than a load report the end of a request may be known, or earlier: entries send
+	// batches every 10 ms.
+	reorderWindow = 15 * time.Millisecond
 )
 
 // server is what the pool knows of a server.
@@ -52,6 +55,8 @@
 	others     float64
 	slowdown   float64
 	reportedAt time.Time
+	// ends holds when the last requests ended; a load report may still contain them.
+	ends [4]time.Time
 	// latencyRatio is the smoothed latency relative to the expected one, failureRate the smoothed share of failures.
 	latencyRatio, failureRate float64
 	lastOutcome               time.Time
@@ -113,13 +118,17 @@
 	return s.occupied(now)+0.5 < float64(s.limit(now, congested))
 }
 
-// expectedSlowdown is the expected time of a request that starts now, relative to that on an idle host.
-func (s *server) expectedSlowdown(now time.Time, mean float64) float64 {
-	slowdown := mean + (s.slowdown-mean)*decay(now.Sub(s.reportedAt), slowdownDecay)
-	if slots := max(1, s.Slots); slots > 1 && s.occupied(now)+1 > kneeShare*float64(slots)+0.5 {
-		slowdown *= kneeSlowdown
+// hostSlowdown is the expected slowdown of the server's host.
+func (s *server) hostSlowdown(now time.Time, mean float64) float64 {
+	return mean + (s.slowdown-mean)*decay(now.Sub(s.reportedAt), slowdownDecay)
+}
+
+// startSlowdown is the factor by which a request takes longer if it starts at the present load of the server.
+func (s *server) startSlowdown(now time.Time) float64 {
+	if s.Slots > 1 && math.Round(s.occupied(now))+1 > kneeShare*float64(s.Slots) {
+		return kneeSlowdown
 	}
-	return slowdown
+	return 1
 }
 
 // cost orders the servers for a request, given its expected slowdown there.
@@ -131,7 +140,13 @@
 
 // applyLoad applies a load report that does not include the requests that have ended.
 func (s *server) applyLoad(now time.Time, l *sycamorevane.LoadReport, ended int) {
-	s.others = max(0, float64(l.Running+l.Waiting-ended-s.running))
+	recent := 0
+	for _, at := range s.ends {
+		if now.Sub(at) < reorderWindow {
+			recent++
+		}
+	}
+	s.others = max(0, float64(l.Running+l.Waiting-max(ended, recent)-s.running))
 	s.slowdown = 1
 	if l.Slowdown > 0 {
 		s.slowdown = l.Slowdown
@@ -139,6 +154,12 @@
 	s.reportedAt, s.missedProbes = now, 0
 }
 
+// noteEnd records the end of a request.
+func (s *server) noteEnd(now time.Time) {
+	copy(s.ends[1:], s.ends[:])
+	s.ends[0] = now
+}
+
 // observe applies the outcome of a request. expected is its expected latency, 0 if unknown.
 func (s *server) observe(now time.Time, f *Finish, expected time.Duration) {
 	weight := decay(now.Sub(s.lastOutcome), observationDecay)
