Describe shared placement for operators; leave only excluded requests to entries

A request that has failed on all servers of the pool made the entry stop asking for 250 ms; now only that request is left to the entry. Servers of a data centre that was undrained recently are not granted before they have reported, and cold servers are used after a refusal without a wait for fresh reports. Tests of dispatcher and coordinator pass.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -292,7 +292,7 @@
 		return r.placement, nil
 	case r.retryAfter > 0:
 		c.rejected.Inc(1)
-		return dispatcher.Placement{}, &sycamorevane.RefusedError{Service: service, Workspace: workspace, Reason: r.reason, RetryAfter: r.retryAfter}
+		return dispatcher.Placement{}, &sycamorevane.RefusedError{Service: service, Workspace: workspace, Reason: "scheduler: " + r.reason, RetryAfter: r.retryAfter}
 	default:
 		c.fallbacks.Inc(1)
 		return dispatcher.Placement{}, dispatcher.ErrOwnView
@@ -403,7 +403,9 @@
 	}
 	if p.host != "" {
 		for _, s := range p.out.Started {
-			s.Age = milliseconds(now.Sub(p.startedAt[s.Id]))
+			if at, running := p.startedAt[s.Id]; running {
+				s.Age = milliseconds(now.Sub(at))
+			}
 		}
 		if err := c.cfg.Transport.Send(p.host, p.out); err != nil {
 			c.cfg.Log.V(1).Info("request for placement not sent", "peer", p.host, "reason", err.Error())
@@ -600,7 +602,9 @@
 		w.result <- result{placement: dispatcher.Placement{ID: d.Id, Server: d.Server, Scheduler: host}}
 	case leavesToEntry(d):
 		w.result <- result{}
-		c.pause(p, now, modeNoServer, noServerPause)
+		if len(w.request.Excluded) == 0 { // Otherwise the scheduler may have servers for other requests.
+			c.pause(p, now, modeNoServer, noServerPause)
+		}
 	default:
 		w.result <- result{retryAfter: time.Duration(d.After) * time.Millisecond, reason: d.Reason}
 	}
--- a/coordinator/pool.go
+++ b/coordinator/pool.go
@@ -356,9 +356,17 @@
 	if _, drained := st.DrainedDCs[s.DC]; drained {
 		return false
 	}
-	if svc := st.Config.Service(s.Service); svc == nil || svc.ColdRate > 0 && now.Before(record.ColdUntil) {
+	if svc := st.Config.Service(s.Service); svc == nil || svc.ColdRate > 0 && (now.Before(record.ColdUntil) || mayHaveCooled(now, st, record, svc)) {
 		return false
 	}
 	shares := st.VersionShares(s.Service)
 	return shares == nil || shares[s.Version] > 0 && !dispatcher.UnderTrial(st, s)
 }
+
+// mayHaveCooled reports whether the data centre of the server was undrained within the cold period and the server has not
+// reported since. Entries decide by their own clocks; a difference only leads to grants that are given back.
+func mayHaveCooled(now time.Time, st *sycamorevane.State, record *cataloger.ServerRecord, svc *sycamorevane.Service) bool {
+	ms, undrained := st.UndrainedDCs[record.Server.DC]
+	at := time.UnixMilli(ms)
+	return undrained && now.Sub(at) < svc.ColdPeriod && record.ReportedAt.Before(at)
+}
--- a/dispatcher/scheduled.go
+++ b/dispatcher/scheduled.go
@@ -156,7 +156,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	v := d.view(now)
-	v.unscheduledOnly = true
+	v.unscheduledOnly, w.freshUntil = true, now // Nothing is left to wait for.
 	if got := d.place(v, w); got.server != nil {
 		return d.grant(v, w.req.Route, got), nil
 	}
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -84,11 +84,17 @@
 		service = c.svc.Name
 	}
 	now := time.Now()
-	c.f.sampler.Info(now, "request failed", "request", c.r.Header.Get(c.f.dialect.RequestID), "status", status, "notrun", notRun,
+	pairs := []any{
+		"request", c.r.Header.Get(c.f.dialect.RequestID), "status", status, "notrun", notRun,
 		"reason", reason, "service", service, "route", c.route.Name, "attempts", c.attempts,
 		"tried", c.excludedServers, "server", server,
 		"ms", now.Sub(c.startedAt).Milliseconds(), "left", c.deadline.Sub(now).Milliseconds(), "after", retryAfter.Milliseconds(),
-		"version", c.stateVersion())
+		"version", c.stateVersion(),
+	}
+	if c.scheduler != "" {
+		pairs = append(pairs, "scheduler", c.scheduler)
+	}
+	c.f.sampler.Info(now, "request failed", pairs...)
 }
 
 // logLateResponse logs how the time was spent when a response misses its soft deadline.
