Measure a decision; confirm a waiting request after 10 ms

An entry got a message at once for each request that waits for a probe, and another with the grant 7 ms later.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -24,6 +24,9 @@
 const (
 	// waitingInterval is how often an entry with waiting requests gets a message. It is half of the entry's silenceTimeout.
 	waitingInterval = 20 * time.Millisecond
+	// firstWaitingDelay is the same for the first message. Most requests are decided earlier, once a server has answered a
+	// probe, which takes about 6 ms.
+	firstWaitingDelay = 10 * time.Millisecond
 	// decideInterval is the interval of Pool.Tick while requests wait, idleInterval that of all periodic work otherwise.
 	decideInterval = 5 * time.Millisecond
 	idleInterval   = 100 * time.Millisecond
--- a/coordinator/pool.go
+++ b/coordinator/pool.go
@@ -157,6 +157,9 @@
 			a.ExcludedServers = append(a.ExcludedServers, id)
 		}
 	}
+	if len(e.waiting) == 0 {
+		e.sentAt = now.Add(firstWaitingDelay - waitingInterval)
+	}
 	e.waiting[r.Id] = now
 	if !p.warm(now) {
 		p.early = append(p.early, a)
