Test two schedulers of one pool

Cause: two hosts may both believe that they own a pool.

Change: the simulation can split the entries of each data centre over two schedulers that do not know of each other.

--- a/simulator/discovery.go
+++ b/simulator/discovery.go
@@ -75,6 +75,8 @@
 	Wave                    DemandWave
 	// Design is OwnView if it is empty.
 	Design Design
+	// SplitPools gives each data centre two schedulers, each for half of its entries, that do not know of each other.
+	SplitPools bool
 	// MessageDelay is the one-way delay between an entry and the scheduler of its data centre; 0 means 0.5 ms.
 	MessageDelay time.Duration
 	// ProbeTime is how long a load probe takes within a data centre; 0 means 2 ms.
--- a/simulator/discovery_design_test.go
+++ b/simulator/discovery_design_test.go
@@ -118,6 +118,9 @@
 // Guards against goodput that falls as the offered load of census grows, against urgent requests that are late then, and
 // against callers that wait for a rejection.
 func TestSchedulerUnderOverload(t *testing.T) {
+	// A rejection takes 20 ms at most, as for entries by themselves (BENCH: refusals), except for requests that might
+	// still have been in time when they came.
+	const maxRefusalTime = 20 * time.Millisecond
 	goodput := make(map[float64]float64)
 	for _, load := range []float64{1, 2, 3} {
 		o := censusConditions(27)
@@ -126,7 +129,9 @@
 		r := runInBubble(t, o)
 		goodput[load] = load * r.ValueShare
 		lookups := r.Kinds["lookup"]
-		t.Log(describe(&o, r), r.RefusalTime.ValueAtPercentile(75), r.RefusalTime.ValueAtPercentile(90))
+		if load > 1 {
+			require.LessOrEqual(t, r.RefusalTime.ValueAtPercentile(75), maxRefusalTime.Microseconds(), "load %v", load)
+		}
 		require.GreaterOrEqual(t, float64(lookups.OnTime), 0.9*float64(lookups.Requests), "load %v", load)
 	}
 	require.Greater(t, goodput[2], 0.9*goodput[1])
@@ -141,11 +146,23 @@
 	own := runInBubble(t, o)
 	o.Design = SchedulerPerDC
 	r := runInBubble(t, o)
-	t.Log(describe(&o, r))
 	require.Greater(t, r.ValueShare, own.ValueShare)
 	require.GreaterOrEqual(t, r.ValueShare, 0.9)
 }
 
+// Guards against two hosts that both believe that they own a pool and overload its servers together: each of them sees
+// the requests of the other only in load reports.
+func TestTwoSchedulersOfOnePool(t *testing.T) {
+	o := censusConditions(67)
+	o.SetLoad(1.2)
+	o.Duration = 4 * time.Second
+	own := runInBubble(t, o)
+	o.Design, o.SplitPools = SchedulerPerDC, true
+	r := runInBubble(t, o)
+	require.Greater(t, r.ValueShare, own.ValueShare)
+	require.Less(t, float64(r.Shed), 0.01*float64(r.Attempts))
+}
+
 // describe formats the result of a design in one line.
 func describe(o *DiscoveryConditions, r DiscoveryResult) string {
 	line := fmt.Sprintf("%-17s value %.3f worst %.3f rejected by servers %d probes/s %.0f messages/s %.0f;", o.Design, r.ValueShare,
--- a/simulator/discovery_scheduler.go
+++ b/simulator/discovery_scheduler.go
@@ -50,18 +50,27 @@
 	case SchedulerPerDC:
 		sim.schedulers = make(map[string]*simulatedScheduler)
 		for i := range sim.DCs {
-			sim.schedulers[dcName(i)] = sim.newScheduler(dcName(i), cmp.Or(sim.MessageDelay, meshDelay), uint64(i))
+			for half := range 2 {
+				sim.schedulers[schedulerName(i, half)] = sim.newScheduler(dcName(i), cmp.Or(sim.MessageDelay, meshDelay), uint64(2*i+half))
+			}
 		}
 	case OmniscientScheduler:
-		sim.schedulers = map[string]*simulatedScheduler{dcName(0): sim.newScheduler("", 0, 0)}
+		sim.schedulers = map[string]*simulatedScheduler{schedulerName(0, 0): sim.newScheduler("", 0, 0)}
 	default:
 		return
 	}
 	for i, e := range sim.entries {
-		e.scheduler = &schedulerSession{scheduler: sim.schedulers[e.dc], entry: fmt.Sprintf("e%d", i)}
+		half := 0
+		if sim.SplitPools {
+			half = i / sim.DCs % 2
+		}
+		e.scheduler = &schedulerSession{scheduler: sim.schedulers[schedulerName(i%sim.DCs, half)], entry: fmt.Sprintf("e%d", i)}
 	}
 }
 
+// schedulerName names the scheduler of a half of the entries of a data centre.
+func schedulerName(dc, half int) string { return fmt.Sprintf("%s/%d", dcName(dc), half) }
+
 // newScheduler returns a scheduler of the servers of a data centre; of all if dc is empty.
 func (sim *discoverySimulation) newScheduler(dc string, delay time.Duration, n uint64) *simulatedScheduler {
 	s := &simulatedScheduler{sim: sim, delay: delay, waiting: make(map[scheduler.Key]chan scheduler.Decision)}
@@ -125,7 +134,7 @@
 
 // reportAll reports the load of all servers to the only scheduler.
 func (sim *discoverySimulation) reportAll(now time.Time) {
-	s := sim.schedulers[dcName(0)]
+	s := sim.schedulers[schedulerName(0, 0)]
 	for _, srv := range sim.servers {
 		sim.mu.Lock()
 		l := srv.loadReport(sim.Slots)
--- a/simulator/discovery_simulation.go
+++ b/simulator/discovery_simulation.go
@@ -43,7 +43,7 @@
 	servers []*simulatedServer
 	byID    map[string]*simulatedServer
 	entries []*simulatedEntry
-	// schedulers holds the scheduler of each data centre by its name.
+	// schedulers holds the schedulers by the data centre and the half of its entries that they serve.
 	schedulers map[string]*simulatedScheduler
 	state      *sycamorevane.State
 	startedAt  time.Time
