--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -28,7 +28,8 @@
 	// congestedPeriod.
 	congestedAfter  = 2 * freshReportWait
 	congestedPeriod = time.Second
-	// lateShare is the share of the requests that run at once that late requests may have while the pool is congested.
+	// lateShare is the share of the requests that run at once, and of the capacity, that late requests may have while the
+	// pool is congested.
 	lateShare = 0.05
 	// maxTries bounds the waiting requests that are tried for one event.
 	maxTries = 16
@@ -56,9 +57,11 @@
 	list    []*server
 	waiting map[Key]*waiter
 	inTime  queue
-	late    queue
-	runs    map[Key]*run
-	routes  map[string]*routeStats
+	// late holds the requests that cannot be in time. They are served in the order of arrival, so that their wait can be
+	// foretold and the least urgent ones do not wait in vain.
+	late   queue
+	runs   map[Key]*run
+	routes map[string]*routeStats
 	// sequence numbers the asks.
 	sequence uint64
 	// lateRunning counts the running requests that were late when they were granted.
@@ -70,10 +73,11 @@
 	lastSweep     time.Time
 	// nextReturn is the earliest time for which the next rejected caller is told to return.
 	nextReturn time.Time
-	// arrivals holds the rates of the asks by priority, granted the rate of the grants.
-	arrivals  map[int]*rate
-	granted   rate
-	decisions []Decision
+	// arrivals holds the rates of the asks by priority, granted the rate of the grants, lateGranted that of the grants to
+	// late requests, with the time that they take on slow hosts.
+	arrivals             map[int]*rate
+	granted, lateGranted rate
+	decisions            []Decision
 }
 
 // run is a request on a server.
@@ -105,6 +109,7 @@
 	return &Core{
 		cfg: cfg, servers: make(map[string]*server), waiting: make(map[Key]*waiter), runs: make(map[Key]*run),
 		routes: make(map[string]*routeStats), meanSlowdown: initialMeanSlowdown, arrivals: make(map[int]*rate),
+		late: queue{ignorePriority: true},
 	}
 }
 
@@ -153,6 +158,9 @@
 	c.countArrival(now, w)
 	w.late = now.After(w.latestStart) || c.hopeless(now, w)
 	c.waiting[w.Key] = w
+	if w.late {
+		w.rank = now
+	}
 	c.queueOf(w).add(w)
 	c.admit(now, w)
 	return c.decide(now)
@@ -321,7 +329,7 @@
 			continue
 		}
 		c.inTime.remove(w, 0)
-		w.late = true
+		w.late, w.rank = true, w.arrivedAt
 		c.late.add(w)
 		c.admit(now, w)
 	}
@@ -404,7 +412,12 @@
 	if c.late.count == 0 {
 		return false
 	}
-	return !c.congested(now) && c.inTime.count == 0 || c.lateRunning < c.lateLimit(now)
+	if !c.congested(now) && c.inTime.count == 0 {
+		return true
+	}
+	// In a small pool one late request at a time would be more than its share, so the time that they take counts too.
+	c.lateGranted.refresh(now)
+	return c.lateRunning < c.lateLimit(now) && c.lateGranted.work <= lateShare*c.capacity(now)
 }
 
 // lateLimit is the number of late requests that may run at once during congestion.
@@ -478,6 +491,9 @@
 	}
 	c.drop(w, w.work)
 	c.granted.add(now, w.work)
+	if w.late {
+		c.lateGranted.add(now, time.Duration(slowdown*float64(w.work)))
+	}
 	c.addRun(w.Key, &run{server: s.ID, route: w.Route, slowdown: slowdown, late: w.late, expiresAt: expiresAt}, now, w.work)
 	c.decisions = append(c.decisions, Decision{Key: w.Key, Server: s.ID})
 }
