--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -110,12 +110,14 @@
 	stop     context.CancelFunc
 	state    atomic.Pointer[sycamorevane.State]
 	records  []cataloger.ServerRecord
+	// hosts returns the control hosts that an entry knows.
+	hosts func(entry string) []string
 }
 
 func runSetup(t *testing.T, test func(t *testing.T, s *setup)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &setup{
-			t: t, controls: make(map[string]*Coordinator), clients: make(map[string]*Client),
+			t: t, hosts: func(string) []string { return []string{"control1", "control2"} }, controls: make(map[string]*Coordinator), clients: make(map[string]*Client),
 			network: &network{
 				handlers: make(map[string]map[uint32]sycamorevane.Handler), links: make(map[[2]string]chan proto.Message),
 				dead: sycamorevane.NewSet[string](), lost: func(string, string) bool { return false },
@@ -144,7 +146,7 @@
 		}
 		for _, name := range []string{"entry1", "entry2"} {
 			s.clients[name] = NewClient(ClientConfig{
-				Transport: &endpoint{s.network, name}, DC: "a", Hosts: func() []string { return []string{"control1", "control2"} }, Log: logr.Discard(),
+				Transport: &endpoint{s.network, name}, DC: "a", Hosts: func() []string { return s.hosts(name) }, Log: logr.Discard(),
 			})
 			s.clients[name].Start()
 		}
@@ -180,6 +182,7 @@
 		s.finish(name, placement)
 		require.True(s.t, c.Decides(serviceName))
 	}
+	time.Sleep(2 * reportInterval) // All reports arrive.
 }
 
 func (s *setup) mustPlace(entry string) dispatcher.Placement {
@@ -303,6 +306,43 @@
 	})
 }
 
+// Guards against entries that mix the grants of two schedulers, each of which believes that it owns the pool.
+func TestTwoSchedulersOfOnePool(t *testing.T) {
+	runSetup(t, func(t *testing.T, s *setup) {
+		s.hosts = func(entry string) []string {
+			if entry == "entry1" {
+				return []string{"control1"}
+			}
+			return []string{"control2"}
+		}
+		s.warmUp()
+		first, second := s.mustPlace("entry1"), s.mustPlace("entry2")
+		require.Equal(t, "control1", first.Scheduler)
+		require.Equal(t, "control2", second.Scheduler)
+		s.finish("entry1", first)
+		s.finish("entry2", second)
+		time.Sleep(50 * time.Millisecond)
+		require.Zero(t, s.summary("control1").Running)
+		require.Zero(t, s.summary("control2").Running)
+	})
+}
+
+// Guards against an end that is lost and keeps a server occupied until the deadline of its request.
+func TestLostEndIsNoticed(t *testing.T) {
+	runSetup(t, func(t *testing.T, s *setup) {
+		s.warmUp()
+		host, _ := s.schedulingHost()
+		placement := s.mustPlace("entry1")
+		s.setLost(func(_, to string) bool { return to == host })
+		s.finish("entry1", placement)
+		time.Sleep(2 * reportInterval)
+		require.Equal(t, 1, s.summary(host).Running)
+		s.setLost(func(string, string) bool { return false })
+		time.Sleep(completeInterval + minUnlistedAge)
+		require.Zero(t, s.summary(host).Running)
+	})
+}
+
 // Guards against requests that are granted a server that runs others already, because the next scheduler does not know them.
 func TestNextSchedulerLearnsWhatRuns(t *testing.T) {
 	runSetup(t, func(t *testing.T, s *setup) {
