--- a/parser/discovery.go
+++ b/parser/discovery.go
@@ -43,7 +43,9 @@
 	Bounds      DiscoveryBounds
 	// Cloud is the platform that the deployment runs on, as far as it is called.
 	Cloud DiscoveryCloud
-	Debug bool
+	// Contracts lists the optional features that the deployment requests, by the platform's names.
+	Contracts []string
+	Debug     bool
 }
 
 // DiscoveryCloud holds the settings for calls to the platform.
@@ -179,6 +181,7 @@
 				{"seeds", true, addrPortListParser(&s.Seeds)},
 				{"first", false, boolParser(&s.FirstStart)},
 				{"dcs", true, nonEmptyListParser(&s.DCs)},
+				{"contracts", false, listParser(&s.Contracts)},
 			})
 		case "entry":
 			s.Entry = &DiscoveryEntry{}
--- a/runner/discovery.go
+++ b/runner/discovery.go
@@ -36,6 +36,14 @@
 	Ready(ready func() bool) http.Handler
 	// UsageSender returns what sends usage reports to the platform, or nil in a deployment without usage reports.
 	UsageSender(s *parser.DiscoverySettings) accountant.Sender
+	// Features returns the features that the platform requests by these names.
+	Features(contracts []string) Features
+}
+
+// Features are the optional features of a deployment.
+type Features struct {
+	// SharedPlacement lets control hosts place the requests of all entries of their data centre.
+	SharedPlacement bool
 }
 
 // ControlServices holds what the API of a control host for operators and backend servers is built from.
@@ -74,6 +82,7 @@
 	cfg      DiscoveryConfig
 	mesh     *messenger.Messenger
 	selector *controlSelector
+	features Features
 	metrics  *recorder.Metrics
 	entry    *discoveryEntry
 	control  *discoveryControl
@@ -114,7 +123,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	p = &DiscoveryProcess{cfg: cfg, mesh: mesh, selector: selector, metrics: recorder.NewMetrics(s.Name)}
+	p = &DiscoveryProcess{
+		cfg: cfg, mesh: mesh, selector: selector, metrics: recorder.NewMetrics(s.Name), features: cfg.Adapter.Features(s.Contracts),
+	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	if s.Control != nil {
 		if p.control, err = newDiscoveryControl(p); err != nil {
@@ -215,6 +226,11 @@
 		names = p.selector.selectTargets(time.Now(), names, alive)
 	}
 	wanted := sycamorevane.NewSet(names...)
+	if p.entry != nil && p.control == nil {
+		for _, name := range p.entry.schedulingHosts() {
+			wanted.Add(name)
+		}
+	}
 	delay := p.connectDelay
 	if !slices.ContainsFunc(names, alive.Has) {
 		delay = p.addSeeds(wanted, alive)
--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -17,6 +17,7 @@
 	"sycamorevane.example/sycamorevane/adopter"
 	"sycamorevane.example/sycamorevane/applier"
 	"sycamorevane.example/sycamorevane/cataloger"
+	"sycamorevane.example/sycamorevane/coordinator"
 	"sycamorevane.example/sycamorevane/encoder"
 	"sycamorevane.example/sycamorevane/persister"
 	"sycamorevane.example/sycamorevane/promoter"
@@ -56,7 +57,10 @@
 	administrator *administrator.Administrator
 	promoter      *promoter.Promoter
 	// accountant is nil in a deployment without usage reports.
-	accountant        *accountant.Accountant
+	accountant *accountant.Accountant
+	// coordinator and prober are nil without shared placement.
+	coordinator       *coordinator.Coordinator
+	prober            *coordinator.Prober
 	directory         *resolver.Directory
 	reads             readCoalescer
 	apiListener       net.Listener
@@ -110,6 +114,9 @@
 		Capacity: c.capacity, Submit: c.submit,
 	})
 	c.accountant = c.newAccountant()
+	if p.features.SharedPlacement {
+		c.coordinator = newCoordinator(c)
+	}
 	if c.apiListener, err = net.Listen("tcp", s.Control.OperatorAddr); err != nil {
 		return nil, errors.Annotate(err, "control listener")
 	}
@@ -141,6 +148,9 @@
 	if c.accountant != nil {
 		c.accountant.Start()
 	}
+	if c.coordinator != nil {
+		c.coordinator.Start()
+	}
 	c.p.wg.Go(c.watchState)
 	c.p.wg.Go(c.contactPushLoop)
 	c.p.wg.Go(c.adoptLoop)
@@ -208,11 +218,13 @@
 	names, members := c.directory.Names(), c.members()
 	leader, _, _ := c.replicator.Leader()
 	epoch, revision := c.catalog.Revision()
+	addNearby := c.addNearby(members)
 	return func(m *encoder.StatePush, entry string) {
 		m.Leader = leader
 		rank, entries := c.directory.Rank(names, entry)
 		m.Rank, m.Entries = uint32(rank), uint32(entries)
 		m.Members, m.Epoch, m.Revision = members, epoch, revision
+		addNearby(m, entry)
 	}
 }
 
@@ -433,6 +445,10 @@
 	if c.accountant != nil {
 		c.accountant.Close()
 	}
+	if c.coordinator != nil {
+		c.coordinator.Close()
+		c.prober.Close()
+	}
 	c.promoter.Close()
 	c.publisher.Close()
 	c.catalog.Close()
