--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -20,7 +20,7 @@
 	// earn more value in the same time.
 	workRank = 1
 	// fastSlowdown is the expected slowdown up to which a request is granted a server at once: that of a fast server
-	// whose report is 25 ms old. goodSlowdown is the one up to which it is granted a server when probes have not
+	// whose report is 23 ms old. goodSlowdown is the one up to which it is granted a server when probes have not
 	// returned in time.
 	fastSlowdown = 1.06
 	goodSlowdown = 1.3
