Keep counting requests that an entry reports again on a new session

Cause: requests of an entry whose session had ended expired at their expected end even if the entry came back.

Change: a Start for a known request restores its usual expiry. Tested by TestEntryReturns.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -86,6 +86,8 @@
 	route  string
 	// expectedEnd is when the request ends if the server is as fast as expected; expiresAt is when it no longer counts.
 	expectedEnd, expiresAt time.Time
+	// latestEnd is expiresAt while the session of the entry lasts.
+	latestEnd time.Time
 	// expected is the expected latency.
 	expected time.Duration
 	// slowdown is the expected slowdown at the start.
@@ -190,8 +192,9 @@
 	expiresAt := s.At.Add(defaultRunTime)
 	slowdown := 1.0
 	if r := c.runs[s.Key]; r != nil {
-		expiresAt = r.expiresAt
+		expiresAt = r.latestEnd
 		if r.server == s.Server {
+			r.expiresAt = r.latestEnd // The entry reports it again on a new session.
 			return
 		}
 		c.endRun(s.Key)
@@ -205,7 +208,7 @@
 
 func (c *Core) addRun(k Key, r *run, at time.Time, work time.Duration) {
 	r.expected = time.Duration(r.slowdown * float64(work))
-	r.expectedEnd = at.Add(r.expected)
+	r.expectedEnd, r.latestEnd = at.Add(r.expected), r.expiresAt
 	c.runs[k] = r
 	if s := c.servers[r.server]; s != nil {
 		s.running++
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -377,6 +377,18 @@
 	}
 }
 
+// Guards against requests that no longer count although their entry has opened a new session and reported them again.
+func TestEntryReturns(t *testing.T) {
+	c := newPool(1)
+	c.Ask(start, lookup(1, start))
+	c.ForgetEntry(at(20), "e1")
+	c.Start(at(30), Start{Key: key(1), Server: "s0", At: start})
+	c.Tick(at(3000))
+	require.Equal(t, 1, c.Summary(at(3000)).Running)
+	finish(c, at(3010), 1, 1)
+	require.Zero(t, c.Summary(at(3010)).Running)
+}
+
 // Guards against counts that drift, keys that are decided twice, and servers above their limit in any order of events.
 func TestRandomEvents(t *testing.T) {
 	for seed := range uint64(20) {
