Parser: section [spill] limits what a data centre sends to others

The amount of requests that spill over to other data centres has to be limited by the operator. maxshare (0 to 1, 0.5 by default) limits the share of the demand, maxmbps the traffic; without maxmbps there is no limit, and 0 is refused because it could be read as either. Tested: parser, with the golden file.

--- a/parser/discovery.go
+++ b/parser/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"slices"
@@ -40,6 +41,7 @@
 	// MetricsPort is the port that serves /metrics; 0 means that metrics are not served.
 	MetricsPort int
 	Bounds      DiscoveryBounds
+	Spill       DiscoverySpill
 	Debug       bool
 }
 
@@ -83,6 +85,16 @@
 	MaxTrialShare float64
 }
 
+// DiscoverySpill limits the requests that a data centre sends to the servers of others.
+type DiscoverySpill struct {
+	// MaxShare is the largest share of the demand of a service in a data centre that is sent to others while its own
+	// servers are in use; defaultMaxSpillShare if not set.
+	MaxShare float64
+	// MaxMbps is the largest rate of requests and responses together that a data centre exchanges with the servers of
+	// others, in Mbit/s; 0 means no limit.
+	MaxMbps float64
+}
+
 // Defaults of the bounds that a deployment may lack because it does not use the feature that they limit.
 const (
 	defaultGracePeriod  = 6 * time.Second
@@ -92,6 +104,8 @@
 	// defaultColdFactor keeps a cold server at the rate that it states.
 	defaultColdFactor    = 1
 	defaultMaxTrialShare = 0.05
+	// defaultMaxSpillShare keeps half of the work at home if what other data centres report is wrong.
+	defaultMaxSpillShare = 0.5
 )
 
 func defaultBounds() DiscoveryBounds {
@@ -117,7 +131,7 @@
 	if f == nil {
 		return nil, r.faultsError()
 	}
-	s := &DiscoverySettings{Bounds: defaultBounds()}
+	s := &DiscoverySettings{Bounds: defaultBounds(), Spill: DiscoverySpill{MaxShare: defaultMaxSpillShare}}
 	seen := sycamorevane.NewSet[string]()
 	for _, section := range f.Sections() {
 		if section.Name() != "DEFAULT" && seen.Has(section.Name()) {
@@ -160,10 +174,14 @@
 			})
 		case "bounds":
 			r.decodeSection(section, boundFields(&s.Bounds))
+		case "spill":
+			r.decodeSection(section, []field{
+				{"maxshare", false, shareParser(&s.Spill.MaxShare)}, {"maxmbps", false, positiveParser(&s.Spill.MaxMbps)},
+			})
 		case "log":
 			r.decodeSection(section, []field{{"debug", false, boolParser(&s.Debug)}})
 		default:
-			r.addFault(section.Name(), "", "", "unknown section; known are host, cluster, entry, control, bounds, log")
+			r.addFault(section.Name(), "", "", "unknown section; known are host, cluster, entry, control, bounds, spill, log")
 		}
 	}
 	r.checkDiscovery(s, seen)
@@ -274,6 +292,28 @@
 	}
 }
 
+func shareParser(dst *float64) func(string) error {
+	return func(v string) error {
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(f >= 0 && f <= 1) {
+			return fmt.Errorf("must be a number from 0 to 1")
+		}
+		*dst = f
+		return nil
+	}
+}
+
+func positiveParser(dst *float64) func(string) error {
+	return func(v string) error {
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(f > 0) || math.IsInf(f, 1) {
+			return fmt.Errorf("must be a number above 0")
+		}
+		*dst = f
+		return nil
+	}
+}
+
 func secondsParser(dst *time.Duration) func(string) error { return scaledParser(dst, time.Second) }
 
 func millisecondsParser(dst *time.Duration) func(string) error {
--- a/parser/discovery_test.go
+++ b/parser/discovery_test.go
@@ -47,6 +47,7 @@
 	require.Equal(t, 1500*time.Millisecond, s.Bounds.HeartbeatInterval)
 	require.Equal(t, 6*time.Second, s.Bounds.GracePeriod)
 	require.Equal(t, 2500*time.Millisecond, s.Bounds.DrainTime)
+	require.Equal(t, DiscoverySpill{MaxShare: 0.5}, s.Spill)
 	require.True(t, s.FirstStart)
 	require.Nil(t, s.Entry)
 	require.Equal(t, "/data/control", s.Control.DataDir)
@@ -65,6 +66,10 @@
 		"short key":         {"key = sycamorevane-open-deployment", "key = short", "at least"},
 		"other data centre": {"dc = midlands-a", "dc = plateau-a", "is not among the data centres"},
 		"negative bound":    {"coldslack = 5", "coldslack = -5", "0 or more"},
+		"share above 1":     {"[bounds]", "[spill]\nmaxshare = 1.1\n[bounds]", "from 0 to 1"},
+		"negative share":    {"[bounds]", "[spill]\nmaxshare = -0.1\n[bounds]", "from 0 to 1"},
+		"no rate":           {"[bounds]", "[spill]\nmaxmbps = 0\n[bounds]", "above 0"},
+		"infinite rate":     {"[bounds]", "[spill]\nmaxmbps = inf\n[bounds]", "above 0"},
 		"bound not given":   {"heartbeat = 1500\n", "", "key is missing"},
 	}
 	for name, tc := range cases {
