--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -33,6 +33,9 @@
 	minRate = 0.25
 	// recoveryPeriod limits how long after its return a data centre may exceed MaxShare because its servers are cold.
 	recoveryPeriod = time.Minute
+	// lostHeadroom is the sum of the rates relative to the demand while no request can run at home. The smoothed demand is
+	// behind by up to 11% when it rises by 0.23 a second, and varies; without headroom, what exceeds it would be rejected.
+	lostHeadroom = 1.25
 	// changeInterval is the shortest time between two changes to be logged, and changeShare the difference of a rate,
 	// relative to the demand, from which it is one.
 	changeInterval = time.Second
@@ -203,10 +206,11 @@
 	if lost {
 		home.capacity = 0
 	}
-	plan := plan{home: home, step: max(own/planSteps, minRate), maximum: own + float64(in.Summary.Waiting)/backlogTime}
+	plan := plan{home: home, maximum: own + float64(in.Summary.Waiting)/backlogTime}
 	maximumReason := ReasonDemand
 	switch {
 	case lost:
+		plan.maximum *= lostHeadroom
 	case in.Summary.Capacity <= 0:
 		plan.maximum, maximumReason = 0, ReasonUnknown
 	default:
@@ -223,6 +227,7 @@
 		plan.maximum, maximumReason = bytesPerSecond/max(bytes, 1), ReasonMbps
 	}
 
+	plan.step = max(plan.maximum/planSteps, minRate)
 	lenders := p.usableLenders(now, in, bytes)
 	want := plan.fill(lenders, func(l *lender) float64 { return l.room })
 	targets := plan.fill(lenders, func(l *lender) float64 { return l.offer })
@@ -241,7 +246,7 @@
 	}
 	p.sent = append(p.sent, sentReport{at: now, seq: p.seq, offers: report.Offers})
 	p.updated = now
-	p.noteChange(now, in, own, home, bytes)
+	p.noteChange(now, in, own, plan, bytes)
 	return report
 }
 
@@ -294,16 +299,13 @@
 		}
 		// The rates of the other borrowers are taken from their own reports: they are newer than the smoothed demand.
 		load := r.Report.Own
-		for _, rate := range r.Report.Rates {
-			load -= rate
-		}
 		for j := range in.Others {
 			if o := &in.Others[j]; o.DC != r.DC && p.ageBound(now, o) <= maxAge {
 				load += o.Report.Rates[r.DC]
 			}
 		}
 		l := &lender{
-			dc: r.DC, queue: newQueue(r.Report.Summary, max(0, load)), offer: r.Report.Offers[p.dc],
+			dc: r.DC, queue: newQueue(r.Report.Summary, load), offer: r.Report.Offers[p.dc],
 			room: room(r.Report.Summary, r.Report.OwnUrgent),
 			way:  2*r.Delay.Seconds() + crossingShare*r.Report.ExpectedLatency.Seconds(),
 		}
@@ -328,7 +330,7 @@
 	for _, t := range targets {
 		total += t
 	}
-	homeCost := plan.home.marginalCost(plan.home.load, -plan.step)
+	homeCost := plan.homeCost()
 	usable := map[string]bool{}
 	for _, l := range lenders {
 		usable[l.dc] = true
@@ -431,7 +433,7 @@
 // LastChange returns the last change of the rates that is worth a log line, and whether the last Update made it.
 func (p *Pool) LastChange() (c Change, isNew bool) { return p.change, p.changed }
 
-func (p *Pool) noteChange(now time.Time, in Input, own float64, home queue, bytes float64) {
+func (p *Pool) noteChange(now time.Time, in Input, own float64, plan plan, bytes float64) {
 	p.changed = false
 	if now.Sub(p.change.At) < changeInterval {
 		return
@@ -452,6 +454,6 @@
 	}
 	p.change = Change{
 		At: now, From: p.change.To, To: total, State: in.State, Summary: in.Summary, Own: own, Borrowed: in.Borrowed,
-		HomeCost: home.marginalCost(home.load, -max(own/planSteps, minRate)), Bytes: bytes, Destinations: p.Destinations(),
+		HomeCost: plan.homeCost(), Bytes: bytes, Destinations: p.Destinations(),
 	}
 }
--- a/balancer/plan.go
+++ b/balancer/plan.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// planSteps is the number of equal parts of the demand that are moved one by one.
+	// planSteps is the number of equal parts of what may be moved, which are moved one by one.
 	planSteps = 64
 	// backlogTime is the time in seconds in which waiting requests should be served; they count as additional demand.
 	backlogTime = 1.0
@@ -102,6 +102,9 @@
 	step, maximum float64
 }
 
+// homeCost is by how much one more request extends the time of all requests at home, in seconds.
+func (p plan) homeCost() float64 { return p.home.marginalCost(p.home.load, -p.step) }
+
 // fill moves demand in small steps, each to the lender where one more request costs least, as long as it saves more at
 // home. As the costs are convex, this minimizes the time of all requests of all pools together.
 func (p plan) fill(lenders []*lender, limitOf func(*lender) float64) map[string]float64 {
