--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -148,7 +148,7 @@
 	Rate, Target, Offer float64
 	// Cost is by how much one more request extends the time of all requests there, with its way, in seconds.
 	Cost float64
-	// Age is an upper bound on the age of the report.
+	// Age is an upper bound on the age of the report; math.MaxInt64 if there is none.
 	Age time.Duration
 	// Reason is why the rate is not higher.
 	Reason string
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -247,6 +247,24 @@
 	}
 }
 
+// Guards against a successor of a lender's host that promises room which offers of its predecessor still use, and against a
+// borrower that takes the numbers of one for those of the other.
+func TestReplacedHostOfALender(t *testing.T) {
+	m := newModel(1)
+	m.phase = false
+	a, d := m.dcs[0], m.dcs[3]
+	d.base *= 3
+	m.playFluid(10)
+	require.Positive(t, d.core.Rates()["a"])
+	a.core, a.report = New(m.time(), "a", Limits{MaxShare: 0.5}), map[string]*received{}
+	m.onUpdate = func() { require.Zero(t, d.report["a"].report.Offers["d"]) }
+	m.playFluid(0.9)
+	require.Zero(t, d.core.Rates()["a"])
+	m.onUpdate = func() {}
+	m.playFluid(2)
+	require.Positive(t, d.core.Rates()["a"])
+}
+
 // Guards against more than the operator allows, and against large bodies that cost more than they gain.
 func TestLimits(t *testing.T) {
 	m := newModel(1)
