Scheduler: rejections below capacity count as failures

Cause: while all servers of a service rejected a part of their requests with free slots, each rejection lowered the limit of its server to one request and paused it, so that the pool lost half of its room for seconds.

Change: a rejection whose load report names a free slot raises the failure rate only. The learned edge counts the rejected request itself, and a single request teaches none.

--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -299,6 +299,13 @@
 	}
 }
 
+// Guards against a pool that loses its room when its servers reject a part of their requests although they have free slots.
+func TestKeepsRoomOfServersThatRejectBelowCapacity(t *testing.T) {
+	c := filledPool(t)
+	c.Finish(start, Finish{Key: key(1000), Server: "s0", Kind: sycamorevane.OutcomeShed, Load: load(1, 1)})
+	require.Equal(t, 1, c.Summary(at(10)).Room)
+}
+
 // Guards against a server that gets requests while it fails: two incomplete responses, a failed connection, two probes
 // without an answer.
 func TestPausesFailingServers(t *testing.T) {
--- a/scheduler/server.go
+++ b/scheduler/server.go
@@ -176,6 +176,11 @@
 	case sycamorevane.OutcomeFailed:
 		s.failureRate += (1 - s.failureRate) * failureWeight
 	case sycamorevane.OutcomeShed:
+		if !s.mayBeFull(f.Load) {
+			// It rejects a part of its requests at any load. A pause would only take its room from the pool.
+			s.failureRate += (1 - s.failureRate) * failureWeight
+			return
+		}
 		s.learnEdge(now)
 		s.pause(now, shedPause)
 	case sycamorevane.OutcomeConnectFailed:
@@ -196,9 +201,18 @@
 	}
 }
 
-// learnEdge records that the server rejected a request or reset its connection at the present load.
+// mayBeFull reports whether a server that has rejected a request had no free slot: the load in the response says so, or
+// there is no load.
+func (s *server) mayBeFull(load *sycamorevane.LoadReport) bool {
+	return load == nil || load.Running+load.Waiting >= max(1, s.Slots)
+}
+
+// learnEdge records that the server rejected a request or reset its connection at the present load, which includes that
+// request. A server that failed with a single request has no load below that.
 func (s *server) learnEdge(now time.Time) {
-	s.edge, s.edgeAt = max(2, int(s.occupied(now)+0.5)), now
+	if load := int(s.occupied(now)+0.5) + 1; load > 1 {
+		s.edge, s.edgeAt = load, now
+	}
 }
 
 func (s *server) pause(now time.Time, first time.Duration) {
