--- a/parser/template_test.go
+++ b/parser/template_test.go
@@ -14,14 +14,20 @@
 
 var (
 	sectionPattern = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}\n?(.*?)\{\{/([a-z_.]+)\}\}\n?`)
-	listPattern    = regexp.MustCompile(`\{\{#([a-z_.]+)\}\}\{\{@\}\}\{\{,\}\}\{\{/[a-z_.]+\}\}`)
+	keysPattern    = regexp.MustCompile(`\{\{#([a-z_.]+)\}\}\{\{@\}\}\{\{,\}\}\{\{/[a-z_.]+\}\}`)
 	valuePattern   = regexp.MustCompile(`\{\{([a-z_.]+)\}\}`)
 )
 
 // renderTemplate fills in the parts of the template language that deploy/host.ini uses: values, and sections that are
 // left out without a value.
 func renderTemplate(template string, values map[string]string) string {
-	out := listPattern.ReplaceAllStringFunc(template, func(list string) string { return values[listPattern.FindStringSubmatch(list)[1]] })
+	out := keysPattern.ReplaceAllStringFunc(template, func(keys string) string {
+		field := keysPattern.FindStringSubmatch(keys)[1]
+		if field == "zones" {
+			return values[field]
+		}
+		return strings.Repeat("0,", strings.Count(values[field], ",")) + "0" // A list has indexes in place of keys.
+	})
 	out = sectionPattern.ReplaceAllStringFunc(out, func(section string) string {
 		m := sectionPattern.FindStringSubmatch(section)
 		prefix := m[1] + "."
