Pace large bodies on entries of deployments without rollouts

Cause: on links of 2.6 Mbit/s small requests wait behind uploads and downloads; pacing existed but nothing switched it on.

Change: the setting pace of the new section [transfers], which the template gives where the platform has no bound for rollouts. Other deployments keep their behaviour until pacing is measured there.

--- a/parser/discovery.go
+++ b/parser/discovery.go
@@ -43,6 +43,8 @@
 	Bounds      DiscoveryBounds
 	// Cloud is the platform that the deployment runs on, as far as it is called.
 	Cloud DiscoveryCloud
+	// PaceTransfers is set when large bodies leave a part of the link of an entry to small requests.
+	PaceTransfers bool
 	// Contracts lists the optional features that the deployment requests, by the platform's names.
 	Contracts []string
 	Debug     bool
@@ -197,6 +199,8 @@
 			})
 		case "bounds":
 			r.decodeSection(section, boundFields(&s.Bounds))
+		case "transfers":
+			r.decodeSection(section, []field{{"pace", true, boolParser(&s.PaceTransfers)}})
 		case "cloud":
 			r.decodeSection(section, []field{
 				{"address", false, cloudAddrParser(&s.Cloud.Addr)},
@@ -206,7 +210,7 @@
 		case "log":
 			r.decodeSection(section, []field{{"debug", false, boolParser(&s.Debug)}})
 		default:
-			r.addFault(section.Name(), "", "", "unknown section; known are host, cluster, entry, control, bounds, cloud, log")
+			r.addFault(section.Name(), "", "", "unknown section; known are host, cluster, entry, control, bounds, transfers, cloud, log")
 		}
 	}
 	r.checkDiscovery(s, seen)
--- a/parser/template_test.go
+++ b/parser/template_test.go
@@ -13,13 +13,13 @@
 )
 
 var (
-	sectionPattern = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}\n?(.*?)\{\{/([a-z_.]+)\}\}\n?`)
+	sectionPattern = regexp.MustCompile(`(?s)\{\{([#^])([a-z_.]+)\}\}\n?(.*?)\{\{/([a-z_.]+)\}\}\n?`)
 	keysPattern    = regexp.MustCompile(`\{\{#([a-z_.]+)\}\}\{\{@\}\}\{\{,\}\}\{\{/[a-z_.]+\}\}`)
 	valuePattern   = regexp.MustCompile(`\{\{([a-z_.]+)\}\}`)
 )
 
 // renderTemplate fills in the parts of the template language that deploy/host.ini uses: values, and sections that are
-// left out without a value.
+// left out without a value, or with one.
 func renderTemplate(template string, values map[string]string) string {
 	out := keysPattern.ReplaceAllStringFunc(template, func(keys string) string {
 		field := keysPattern.FindStringSubmatch(keys)[1]
@@ -30,9 +30,10 @@
 	})
 	out = sectionPattern.ReplaceAllStringFunc(out, func(section string) string {
 		m := sectionPattern.FindStringSubmatch(section)
-		prefix := m[1] + "."
-		if slices.ContainsFunc(slices.Collect(maps.Keys(values)), func(k string) bool { return k == m[1] || strings.HasPrefix(k, prefix) }) {
-			return m[2]
+		prefix := m[2] + "."
+		present := slices.ContainsFunc(slices.Collect(maps.Keys(values)), func(k string) bool { return k == m[2] || strings.HasPrefix(k, prefix) })
+		if present == (m[1] == "#") {
+			return m[3]
 		}
 		return ""
 	})
@@ -95,6 +96,20 @@
 	require.Equal(t, DiscoveryCloud{}, s.Cloud)
 }
 
+// Guards against pacing where it has not been measured, and against deployments without rollouts that are not paced.
+func TestTemplatePacesTransfersWithoutRollouts(t *testing.T) {
+	template, err := os.ReadFile("../deploy/host.ini")
+	require.NoError(t, err)
+	values := templateValues()
+	s, err := ParseDiscovery("host.ini", []byte(renderTemplate(string(template), values)))
+	require.NoError(t, err)
+	require.False(t, s.PaceTransfers)
+	delete(values, "bounds.expose_share")
+	s, err = ParseDiscovery("host.ini", []byte(renderTemplate(string(template), values)))
+	require.NoError(t, err)
+	require.True(t, s.PaceTransfers)
+}
+
 // Guards against an error that does not say which required key is missing.
 func TestTemplateWithoutHeartbeat(t *testing.T) {
 	template, err := os.ReadFile("../deploy/host.ini")
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -121,8 +121,9 @@
 		Self: p.cfg.Settings.Name, Limiter: e.dispatcher, State: e.subscriber.State, Dialect: p.cfg.Adapter.Dialect(),
 		Observe: e.evidenceCollector.Observe, FirstState: e.subscriber.FirstState(), ResponseGrace: responseGrace,
 		ShuttingDown: e.shuttingDown.Load, DialTimeout: serverDialTimeout,
-		EntryCount: func() int { return int(max(1, e.entryCount.Load())) },
-		RetryBurst: e.retryBurst, IsSlow: e.dispatcher.Slow, WaitWhileSlow: e.dispatcher.WaitWhileSlow,
+		EntryCount:    func() int { return int(max(1, e.entryCount.Load())) },
+		PaceTransfers: p.cfg.Settings.PaceTransfers,
+		RetryBurst:    e.retryBurst, IsSlow: e.dispatcher.Slow, WaitWhileSlow: e.dispatcher.WaitWhileSlow,
 		OnDirective: e.dispatcher.HandleDirective, Runs: runs,
 		LinkMbps: p.cfg.Settings.LinkMbps, HedgeAcquireTimeout: hedgeAcquireTimeout, Log: p.cfg.Log, Metrics: p.metrics,
 	})
