Shared placement: findings of the review

Cause: a review by one who had not written the code found that one entry that is cut off from the servers pauses them for all entries; that a probe that was not sent counts as unanswered; that probes ignore that a server has turned cold or that its address is used again; that requests keep waiting when no server may be granted any more; that servers with an expired lease are used by nobody after a rejection; that starts on servers unknown to a scheduler are lost; and that each control host could replace the list of nearby hosts. The review of keys found that a request that arrived before the first workspaces were configured could be sent with its key.

Tested: TestOneEntryPausesFewServers, TestWaitingRequestsLeaveAPoolThatLosesItsServers, TestServerThatAProbeFindsColdIsNotGranted, TestProbe; coordinator also with the race detector.

--- a/coordinator/bench_test.go
+++ b/coordinator/bench_test.go
@@ -45,7 +45,9 @@
 	c := New(Config{
 		Transport: transport, DC: "a", NewPool: func() scheduler.Pool { return scheduler.New(scheduler.Config{}) },
 		Servers: func() []cataloger.ServerRecord { return records }, State: func() *sycamorevane.State { return st },
-		Probe: func(context.Context, sycamorevane.Server, string) *sycamorevane.LoadReport { return nil }, Log: logr.Discard(),
+		Probe: func(context.Context, sycamorevane.Server, string) dispatcher.ProbeResult {
+			return dispatcher.ProbeResult{}
+		}, Log: logr.Discard(),
 	})
 	now := time.Now()
 	send := func(i int, m *encoder.ScheduleAsk) {
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -17,6 +17,7 @@
 
 	"sycamorevane.example/sycamorevane"
 	"sycamorevane.example/sycamorevane/cataloger"
+	"sycamorevane.example/sycamorevane/dispatcher"
 	"sycamorevane.example/sycamorevane/encoder"
 	"sycamorevane.example/sycamorevane/scheduler"
 )
@@ -48,6 +49,9 @@
 	// unusablePeriod is how long a server is not granted after two entries have returned it as not usable by their rules
 	// within that time. A single entry may have outdated information.
 	unusablePeriod = 500 * time.Millisecond
+	// reusedPeriod is how long a server is not granted after a probe has found another server at its address. The catalog
+	// learns of it within a lease.
+	reusedPeriod = 5 * time.Second
 )
 
 // Config holds the parameters of a Coordinator.
@@ -60,8 +64,8 @@
 	Servers func() []cataloger.ServerRecord
 	// State returns the committed state.
 	State func() *sycamorevane.State
-	// Probe asks a server for its load. The result is nil if the server does not answer before the context ends.
-	Probe   func(ctx context.Context, s sycamorevane.Server, path string) *sycamorevane.LoadReport
+	// Probe asks a server for its load until the context ends.
+	Probe   func(ctx context.Context, s sycamorevane.Server, path string) dispatcher.ProbeResult
 	Log     logr.Logger
 	Metrics tally.Scope
 }
@@ -94,7 +98,7 @@
 
 type probeResult struct {
 	service, server string
-	load            *sycamorevane.LoadReport
+	result          dispatcher.ProbeResult
 }
 
 // New returns a Coordinator and registers its message handler.
@@ -118,7 +122,7 @@
 // Start starts the goroutine. Close stops it and waits for the running probes.
 func (c *Coordinator) Start() { c.wg.Go(c.loop) }
 
-// Close implements the end of Start.
+// Close stops the goroutine and waits for it and the running probes.
 func (c *Coordinator) Close() {
 	c.stop()
 	c.wg.Wait()
@@ -209,7 +213,7 @@
 func (c *Coordinator) newPool(now time.Time, service string) *pool {
 	p := &pool{
 		c: c, service: service, number: rand.Uint32() | 1, core: c.cfg.NewPool(), createdAt: now, lastRequest: now,
-		entries: make(map[string]*entry), ids: make(map[uint32]string), unusable: make(map[uint32]returnedServer),
+		entries: make(map[string]*entry), ids: make(map[uint32]string), unusable: make(map[uint32]returnedServer), probedOut: make(map[string]time.Time),
 	}
 	p.update(now, c.cfg.Servers())
 	c.pools[service] = p
@@ -271,11 +275,11 @@
 
 func (c *Coordinator) applyProbe(now time.Time, r probeResult) {
 	if p := c.pools[r.service]; p != nil {
-		p.decide(now, p.core.Report(now, r.server, r.load))
+		p.applyProbe(now, r.server, &r.result)
 	}
 }
 
-// probe asks a server for its load and does not wait for the answer. Without a free slot the server counts as not answering.
+// probe asks a server for its load and does not wait for the answer. It returns false without a free slot.
 func (c *Coordinator) probe(s sycamorevane.Server, path string) bool {
 	select {
 	case c.probeSlots <- struct{}{}:
@@ -285,11 +289,11 @@
 	c.probes.Inc(1)
 	c.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
-		load := c.cfg.Probe(ctx, s, path)
+		result := c.cfg.Probe(ctx, s, path)
 		cancel()
 		<-c.probeSlots
 		select {
-		case c.probed <- probeResult{s.Service, s.ID, load}:
+		case c.probed <- probeResult{s.Service, s.ID, result}:
 		case <-c.ctx.Done():
 		}
 	})
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -136,9 +136,9 @@
 			s.controls[name] = New(Config{
 				Transport: &endpoint{s.network, name}, DC: "a", NewPool: func() scheduler.Pool { return scheduler.New(scheduler.Config{}) },
 				Servers: func() []cataloger.ServerRecord { return s.records }, State: s.state.Load,
-				Probe: func(context.Context, sycamorevane.Server, string) *sycamorevane.LoadReport {
+				Probe: func(context.Context, sycamorevane.Server, string) dispatcher.ProbeResult {
 					time.Sleep(6 * time.Millisecond)
-					return &sycamorevane.LoadReport{Slots: slotsOfServer, Slowdown: 1}
+					return dispatcher.ProbeResult{Answered: true, Load: &sycamorevane.LoadReport{Slots: slotsOfServer, Slowdown: 1}, ColdRemaining: -1}
 				},
 				Log: logr.Discard(),
 			})
@@ -450,3 +450,38 @@
 		s.mustPlace("entry1")
 	})
 }
+
+// Guards against requests that wait at a scheduler until they are late although no server may be granted any more, and
+// other data centres may have some.
+func TestWaitingRequestsLeaveAPoolThatLosesItsServers(t *testing.T) {
+	runSetup(t, func(t *testing.T, s *setup) {
+		s.warmUp()
+		for range serverCount * slotsOfServer {
+			go func() { _, _ = s.place("entry1") }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		begin := time.Now()
+		s.state.Store(&sycamorevane.State{Version: 2, Config: s.state.Load().Config, DrainedDCs: map[string]int64{"a": 1}})
+		_, err := s.place("entry1")
+		require.ErrorIs(t, err, dispatcher.ErrOwnView)
+		require.LessOrEqual(t, time.Since(begin), updateInterval+waitingInterval)
+	})
+}
+
+// Guards against full-rate requests to a server that has turned cold since its last heartbeat.
+func TestServerThatAProbeFindsColdIsNotGranted(t *testing.T) {
+	runSetup(t, func(t *testing.T, s *setup) {
+		s.warmUp()
+		host, _ := s.schedulingHost()
+		c := s.controls[host]
+		done := make(chan struct{})
+		c.queries <- func() {
+			c.applyProbe(time.Now(), probeResult{serviceName, "server0", dispatcher.ProbeResult{Answered: true, ColdRemaining: time.Second}})
+			close(done)
+		}
+		<-done
+		require.Equal(t, serverCount-1, s.summary(host).Servers)
+		time.Sleep(time.Second + 2*updateInterval)
+		require.Equal(t, serverCount, s.summary(host).Servers)
+	})
+}
--- a/coordinator/pool.go
+++ b/coordinator/pool.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"strconv"
 	"time"
 
@@ -31,7 +32,9 @@
 	// usable holds the numbers of the servers that may be granted.
 	usable   sycamorevane.Set[uint32]
 	unusable map[uint32]returnedServer
-	wasBusy  bool
+	// probedOut holds until when servers are not granted because of what a probe has found.
+	probedOut map[string]time.Time
+	wasBusy   bool
 }
 
 // entry is an entry in one of its starts.
@@ -78,6 +81,9 @@
 		if _, known := e.running[s.Id]; known {
 			continue
 		}
+		if p.ids[s.Server] == "" {
+			continue // The entry repeats it, and the server may be known then.
+		}
 		e.running[s.Id] = now
 		p.core.Start(now, scheduler.Start{
 			Key: scheduler.Key{Entry: e.key, ID: s.Id}, Server: p.ids[s.Server], Route: s.Route,
@@ -226,6 +232,9 @@
 		p.c.granted.Inc(1)
 		return &encoder.ScheduleDecision{Id: d.ID, Server: dispatcher.ServerNumber(d.Server)}
 	}
+	if d.Reason == scheduler.ReasonNoServer {
+		return &encoder.ScheduleDecision{Id: d.ID}
+	}
 	p.c.rejected.Inc(1)
 	return &encoder.ScheduleDecision{Id: d.ID, After: max(1, milliseconds(d.RetryAfter)), Reason: d.Reason}
 }
@@ -265,19 +274,41 @@
 }
 
 func (p *pool) sendProbes(now time.Time) {
-	due := p.core.DueProbes(now)
-	if len(due) == 0 {
+	svc := p.c.cfg.State().Config.Service(p.service)
+	if svc == nil || svc.HealthPath == "" {
 		return
 	}
-	svc := p.c.cfg.State().Config.Service(p.service)
-	for _, id := range due {
-		s, ok := p.servers[id]
-		if !ok || svc == nil || svc.HealthPath == "" || !p.c.probe(s, svc.HealthPath) {
-			p.decide(now, p.core.Report(now, id, nil))
+	for _, id := range p.core.DueProbes(now) {
+		if s, ok := p.servers[id]; !ok || !p.c.probe(s, svc.HealthPath) {
+			p.core.SkipProbe(id)
 		}
 	}
 }
 
+// applyProbe applies the result of a probe. A server that has turned cold, or whose address another server uses, is not
+// granted: the catalog learns of it only with the next heartbeat.
+func (p *pool) applyProbe(now time.Time, id string, r *dispatcher.ProbeResult) {
+	switch {
+	case !r.Answered:
+		p.decide(now, p.core.Report(now, id, nil))
+		return
+	case r.AddressReused:
+		p.probedOut[id] = now.Add(reusedPeriod)
+	case r.ColdRemaining > 0:
+		p.probedOut[id] = now.Add(r.ColdRemaining)
+	}
+	if now.Before(p.probedOut[id]) {
+		p.core.SkipProbe(id)
+		p.update(now, p.c.cfg.Servers())
+		return
+	}
+	if r.Load == nil {
+		p.core.SkipProbe(id)
+		return
+	}
+	p.decide(now, p.core.Report(now, id, r.Load))
+}
+
 // flush sends each entry its decisions, and the requests that wait if it has heard nothing for waitingInterval.
 func (p *pool) flush(now time.Time) {
 	for _, e := range p.entries {
@@ -335,7 +366,7 @@
 		}
 		number := dispatcher.ServerNumber(s.ID)
 		p.ids[number], p.servers[s.ID] = s.ID, *s
-		usable := isUsable(now, st, record) && !now.Before(p.unusable[number].until)
+		usable := isUsable(now, st, record) && !now.Before(p.unusable[number].until) && !now.Before(p.probedOut[s.ID])
 		if usable {
 			p.usable.Add(number)
 		}
@@ -346,7 +377,21 @@
 			delete(p.unusable, number)
 		}
 	}
+	maps.DeleteFunc(p.probedOut, func(_ string, until time.Time) bool { return !now.Before(until) })
 	p.core.Update(now, list)
+	if len(p.usable) == 0 {
+		p.releaseWaiting(now)
+	}
+}
+
+// releaseWaiting leaves the waiting requests to their entries, which may know of servers elsewhere.
+func (p *pool) releaseWaiting(now time.Time) {
+	for _, e := range p.entries {
+		for _, id := range sortedKeys(e.waiting) {
+			p.withdraw(now, e, id)
+			e.decisions = append(e.decisions, &encoder.ScheduleDecision{Id: id})
+		}
+	}
 }
 
 // isUsable reports whether the server may be granted: entries share the limits of cold and limited servers among themselves,
--- a/coordinator/prober.go
+++ b/coordinator/prober.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/dispatcher"
 )
 
 const (
@@ -22,16 +24,17 @@
 // Prober asks servers for their load over one persistent connection per server.
 type Prober struct {
 	client http.Client
-	// instanceHeader names the header with the server's own name; empty for none.
-	instanceHeader string
-	parseLoad      func(http.Header) *sycamorevane.LoadReport
+	// instanceHeader names the header with the server's own name, coldHeader that with the milliseconds for which it stays
+	// cold; empty for none.
+	instanceHeader, coldHeader string
+	parseLoad                  func(http.Header) *sycamorevane.LoadReport
 }
 
 // NewProber returns a Prober that reads load reports with parseLoad.
-func NewProber(instanceHeader string, parseLoad func(http.Header) *sycamorevane.LoadReport) *Prober {
+func NewProber(instanceHeader, coldHeader string, parseLoad func(http.Header) *sycamorevane.LoadReport) *Prober {
 	dialer := &net.Dialer{Timeout: probeTimeout}
 	return &Prober{
-		instanceHeader: instanceHeader, parseLoad: parseLoad,
+		instanceHeader: instanceHeader, coldHeader: coldHeader, parseLoad: parseLoad,
 		client: http.Client{
 			Transport: &http.Transport{
 				DialContext: dialer.DialContext, MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, IdleConnTimeout: probeIdleTimeout,
@@ -42,23 +45,27 @@
 	}
 }
 
-// Probe returns the load of the server, or nil if it does not answer, reports no load or another server uses its address.
-func (p *Prober) Probe(ctx context.Context, s sycamorevane.Server, path string) *sycamorevane.LoadReport {
+// Probe asks the server for its load.
+func (p *Prober) Probe(ctx context.Context, s sycamorevane.Server, path string) dispatcher.ProbeResult {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Addr+path, http.NoBody)
 	if err != nil {
-		return nil
+		return dispatcher.ProbeResult{}
 	}
 	req.Header["User-Agent"] = []string{""}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return nil
+		return dispatcher.ProbeResult{}
 	}
 	_, _ = io.CopyN(io.Discard, resp.Body, maxProbeBodyBytes)
 	_ = resp.Body.Close()
 	if name := resp.Header.Get(p.instanceHeader); name != "" && name != s.InstanceName {
-		return nil
+		return dispatcher.ProbeResult{Answered: true, AddressReused: true, ColdRemaining: -1}
 	}
-	return p.parseLoad(resp.Header)
+	r := dispatcher.ProbeResult{Answered: true, Load: p.parseLoad(resp.Header), ColdRemaining: -1}
+	if ms, err := strconv.Atoi(resp.Header.Get(p.coldHeader)); err == nil && ms >= 0 {
+		r.ColdRemaining = time.Duration(ms) * time.Millisecond
+	}
+	return r
 }
 
 // Close closes the idle connections.
--- a/coordinator/prober_test.go
+++ b/coordinator/prober_test.go
@@ -5,10 +5,12 @@
 	"net/http/httptest"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/dispatcher"
 )
 
 // Guards against the load of another server that now uses the address, and against a new connection for each probe.
@@ -18,20 +20,24 @@
 		conns.Add(r.RemoteAddr)
 		w.Header().Set("Name", "x")
 		w.Header().Set("Running", "3")
+		w.Header().Set("Cold", "250")
 	}))
 	defer h.Close()
-	p := NewProber("Name", func(h http.Header) *sycamorevane.LoadReport {
+	p := NewProber("Name", "Cold", func(h http.Header) *sycamorevane.LoadReport {
 		n, _ := strconv.Atoi(h.Get("Running"))
 		return &sycamorevane.LoadReport{Running: n}
 	})
 	defer p.Close()
 	s := sycamorevane.Server{ID: "x@1", InstanceName: "x", Addr: h.Listener.Addr().String()}
 	for range 3 {
-		require.Equal(t, &sycamorevane.LoadReport{Running: 3}, p.Probe(t.Context(), s, "/health"))
+		r := p.Probe(t.Context(), s, "/health")
+		require.Equal(t, dispatcher.ProbeResult{Answered: true, Load: &sycamorevane.LoadReport{Running: 3}, ColdRemaining: 250 * time.Millisecond}, r)
 	}
 	require.Len(t, conns, 1)
 	s.InstanceName = "y"
-	require.Nil(t, p.Probe(t.Context(), s, "/health"))
+	r := p.Probe(t.Context(), s, "/health")
+	require.True(t, r.AddressReused)
+	require.Nil(t, r.Load)
 	h.Close()
-	require.Nil(t, p.Probe(t.Context(), s, "/health"))
+	require.False(t, p.Probe(t.Context(), s, "/health").Answered)
 }
--- a/dispatcher/scheduled.go
+++ b/dispatcher/scheduled.go
@@ -166,7 +166,7 @@
 
 // grantedByScheduler reports whether the scheduler may grant the server, apart from its load.
 func (c *core) grantedByScheduler(s *server, cold bool) bool {
-	return s.record.Server.DC == c.dc && !cold && !s.limited()
+	return s.record.Server.DC == c.dc && !cold && !s.limited() && !s.record.LeaseExpired && !s.isLeaving()
 }
 
 // reportStart reports a request that this entry has placed itself. The caller holds the lock.
--- a/forwarder/key.go
+++ b/forwarder/key.go
@@ -43,6 +43,10 @@
 // checkCredential rejects a request whose key was revoked after the request arrived, for example during a slow upload or
 // the wait for a server. It is called before each attempt.
 func (c *call) checkCredential() error {
+	if x := c.f.current(); x != nil && x.requiresKeys(&c.f.dialect) && !c.index.requiresKeys(&c.f.dialect) {
+		// Its header was built without regard to keys and may contain one.
+		return c.newRefusedError("keys are required since the request arrived", movedKeyRetryAfter)
+	}
 	if c.credential == "" || c.rule != nil && c.rule.Public {
 		return nil
 	}
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -175,12 +175,12 @@
 		return
 	}
 	e.p.setMembers(m.Members)
-	if e.placement != nil && len(m.Near) > 0 {
-		e.nearbyControls.Store(&m.Near)
-	}
 	if from != e.p.selector.currentSource() {
 		return
 	}
+	if e.placement != nil && len(m.Near) > 0 {
+		e.nearbyControls.Store(&m.Near)
+	}
 	e.rank.Store(int64(m.Rank))
 	e.entryCount.Store(int64(m.Entries))
 	e.rankedAt.Store(int64(time.Since(e.startedAt)))
--- a/runner/placement.go
+++ b/runner/placement.go
@@ -45,7 +45,7 @@
 func newCoordinator(c *discoveryControl) *coordinator.Coordinator {
 	p := c.p
 	d := p.cfg.Adapter.Dialect()
-	c.prober = coordinator.NewProber(d.Instance, d.ParseLoad)
+	c.prober = coordinator.NewProber(d.Instance, d.ColdRemaining, d.ParseLoad)
 	return coordinator.New(coordinator.Config{
 		Transport: p.mesh, DC: p.cfg.Settings.DC, NewPool: func() scheduler.Pool { return scheduler.New(scheduler.Config{}) },
 		Servers: c.catalog.All, State: c.stateMachine.State, Probe: c.prober.Probe, Log: p.cfg.Log, Metrics: p.metrics,
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -78,6 +78,7 @@
 	arrivals             map[int]*rate
 	granted, lateGranted rate
 	decisions            []Decision
+	blames               blames
 }
 
 // run is a request on a server.
@@ -110,7 +111,7 @@
 	}
 	return &Core{
 		cfg: cfg, servers: make(map[string]*server), waiting: make(map[Key]*waiter), runs: make(map[Key]*run),
-		routes: make(map[string]*routeStats), meanSlowdown: initialMeanSlowdown, arrivals: make(map[int]*rate),
+		routes: make(map[string]*routeStats), meanSlowdown: initialMeanSlowdown, arrivals: make(map[int]*rate), blames: make(blames),
 		late: queue{ignorePriority: true},
 	}
 }
@@ -258,6 +259,9 @@
 			c.learnWork(f.Route, f.Latency, r.slowdown)
 		}
 	}
+	if blamesServer(f.Kind) && !c.blames.credible(now, f.Entry, f.Server) {
+		f.Kind = sycamorevane.OutcomeFailed
+	}
 	s.observe(now, &f, expected)
 	return c.decide(now)
 }
@@ -276,6 +280,13 @@
 	return c.meanSlowdown
 }
 
+// SkipProbe implements Pool.
+func (c *Core) SkipProbe(id string) {
+	if s := c.servers[id]; s != nil {
+		s.probing = false
+	}
+}
+
 // Report implements Pool.
 func (c *Core) Report(now time.Time, id string, load *sycamorevane.LoadReport) []Decision {
 	s := c.servers[id]
@@ -340,6 +351,7 @@
 
 // ForgetEntry implements Pool.
 func (c *Core) ForgetEntry(now time.Time, entry string) {
+	delete(c.blames, entry)
 	for k, w := range c.waiting {
 		if k.Entry == entry {
 			c.drop(w, 0)
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -306,6 +306,17 @@
 	require.Equal(t, 1, c.Summary(at(10)).Room)
 }
 
+// Guards against an entry that is cut off from all servers and takes them from the other entries.
+func TestOneEntryPausesFewServers(t *testing.T) {
+	c := newPool(10)
+	for i := range 10 {
+		server := fmt.Sprint("s", i)
+		c.Report(start, server, load(0, 1))
+		c.Finish(start, Finish{Key: Key{Entry: "cut off", ID: uint64(i)}, Server: server, Kind: sycamorevane.OutcomeConnectFailed})
+	}
+	require.Equal(t, 10-maxBlamed, c.Summary(start).Servers)
+}
+
 // Guards against a server that gets requests while it fails: two incomplete responses, a failed connection, two probes
 // without an answer.
 func TestPausesFailingServers(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -24,6 +24,8 @@
 	Finish(now time.Time, f Finish) []Decision
 	// Report records a load report that a probe has returned; load is nil if the server did not respond.
 	Report(now time.Time, server string, load *sycamorevane.LoadReport) []Decision
+	// SkipProbe ends a probe of which nothing was learned: it could not be sent, or the response reported no load.
+	SkipProbe(server string)
 	// Tick decides what depends on the time only. It is called every few milliseconds while requests wait.
 	Tick(now time.Time) []Decision
 	// DueProbes lists the servers to be probed now. They count as being probed until Report.
@@ -46,7 +48,7 @@
 type Server struct {
 	ID    string
 	Slots int
-	// Usable is false while the server must not be granted: it is cold, limited, paused, leaving, drained, or its version
+	// Usable is false while the server must not be granted: it is cold, limited, leaving, drained, or its version
 	// does not serve.
 	Usable bool
 }
