Comments and bounds after the review; wait for all requests in a test

Cause: the review measured 153 MB for the counts of the longest time without a leader, where the comment said 30; package comments were out of date; a new test of coordinator ended before its requests and failed in each run without the race detector.

Change: a leader holds at most 131,072 pairs of cell and workspace, about 40 MB by the same measurement; comments; the test waits.

Tested: coordinator, 20 runs and 3 with the race detector; accountant.

--- a/accountant/counter.go
+++ b/accountant/counter.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// maxPairs limits the pairs of cell and workspace that an entry holds, about 2 MB. An entry with 8 requests per second
+	// maxPairs limits the pairs of cell and workspace that an entry holds, about 9 MB. An entry with 8 requests per second
 	// reaches it after an hour without a leader.
 	maxPairs = 32768
 	// maxReportPairs limits the pairs in one report, about 60 kB. Cells beyond it follow when earlier ones are settled.
--- a/accountant/ledger.go
+++ b/accountant/ledger.go
@@ -9,9 +9,9 @@
 
 const (
 	// maxSources limits the entry processes of which the leader holds counts, maxLedgerPairs the pairs of cell and workspace
-	// of all of them, about 30 MB. 111 entries with 8 requests per second have 9,000 pairs in 10 s.
+	// of all of them, about 40 MB. 111 entries with 8 requests per second have 9,000 pairs in 10 s.
 	maxSources     = 1024
-	maxLedgerPairs = 1 << 19
+	maxLedgerPairs = 1 << 17
 	// delaySampleAge is for how long the fastest report of an entry determines the difference between its clock and that of
 	// this host. Reports that were held up, for example while one of the two hosts was frozen, would make the entry's
 	// requests appear later than they were.
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -456,8 +456,9 @@
 func TestWaitingRequestsLeaveAPoolThatLosesItsServers(t *testing.T) {
 	runSetup(t, func(t *testing.T, s *setup) {
 		s.warmUp()
+		var others sync.WaitGroup
 		for range serverCount * slotsOfServer {
-			go func() { _, _ = s.place("entry1") }()
+			others.Go(func() { _, _ = s.place("entry1") })
 		}
 		time.Sleep(50 * time.Millisecond)
 		begin := time.Now()
@@ -465,6 +466,8 @@
 		_, err := s.place("entry1")
 		require.ErrorIs(t, err, dispatcher.ErrOwnView)
 		require.LessOrEqual(t, time.Since(begin), updateInterval+waitingInterval)
+		others.Wait()
+		time.Sleep(2 * reportInterval) // All reports arrive.
 	})
 }
 
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -37,7 +37,7 @@
 	if ms := at.Sub(now).Milliseconds(); ms != 0 {
 		return ms
 	}
-	return 1
+	return 1 // 0 stands for a time that is not set.
 }
 
 func decodeTime(now time.Time, ms int64) time.Time {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -1,6 +1,6 @@
 // Package dispatcher places requests with the information of a single entry: the outcomes of its own requests and the
-// load that servers report in responses. Entries exchange no messages; only limits that hold for the whole system are
-// divided among them. The package implements sycamorevane.Limiter. It is meant for a load far below the capacity of
+// load that servers report in responses. Limits that hold for the whole system are divided among the entries. With shared
+// placement (Config.Scheduler) a control host chooses the servers, and the entry checks its choice. The package implements sycamorevane.Limiter. It is meant for a load far below the capacity of
 // all servers, where single servers are slow, cold, failing or gone.
 package dispatcher
 
--- a/forwarder/pacer.go
+++ b/forwarder/pacer.go
@@ -73,7 +73,8 @@
 	}
 }
 
-// pacedReader paces a body, whose reads it also limits to pacedChunkBytes, after its first pacedBodyBytes, or from the start if it is known to be larger.
+// pacedReader paces a body after its first pacedBodyBytes, or from the start if it is known to be larger. It limits reads to
+// pacedChunkBytes.
 type pacedReader struct {
 	io.Reader
 	ctx       context.Context
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -63,7 +63,7 @@
 )
 
 // discoveryEntry is the entry role of a DiscoveryProcess. It does not depend on other entries: it chooses servers by
-// the load that it knows itself, and receives the configuration and the catalog of servers from a control host.
+// the load that it knows itself, or lets a control host choose with shared placement, and receives the configuration and the catalog of servers from a control host.
 type discoveryEntry struct {
 	p                 *DiscoveryProcess
 	subscriber        *subscriber.Subscriber
