--- a/accountant/core.go
+++ b/accountant/core.go
@@ -16,8 +16,9 @@
 	// failoverTime is what an election and the commit of the next leader take. A window is closed this much and the lease
 	// before its report is due, so that the report is still in time when the leader dies at that moment.
 	failoverTime = 1500 * time.Millisecond
-	// sendTime is what is left for the call when a window is closed although too many entries are missing.
-	sendTime = time.Second
+	// sendTime is what is left for the call when a window is closed although too many entries are missing: one that is lost
+	// and one after it.
+	sendTime = 2500 * time.Millisecond
 	// warmupTime is how long after it became leader, or after a pause of its process of at least minPause, a host closes no
 	// window. Entries know a new leader within a few 100 ms and then send it all their cells.
 	warmupTime = 2500 * time.Millisecond
--- a/applier/configure.go
+++ b/applier/configure.go
@@ -66,6 +66,9 @@
 	if reason := checkNames("workspace", workspaces, func(w sycamorevane.Workspace) string { return w.Name }); reason != "" {
 		return reason
 	}
+	if len(workspaces) > MaxUsageWorkspaces {
+		return fmt.Sprintf("%d workspaces are given; at most %d are allowed", len(workspaces), MaxUsageWorkspaces)
+	}
 	owners := make(map[string]string)
 	for i := range workspaces {
 		w := &workspaces[i]
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -37,6 +37,8 @@
 	maxTickSilence = 2 * tickInterval
 	// completeInterval is how often the entry reports all that runs, so that a lost report of an end is noticed.
 	completeInterval = time.Second
+	// wantedHosts is the number of hosts for which a session is kept per service, so that the next one can be asked at once.
+	wantedHosts = 2
 	// maxPending limits the requests of a service that wait at the scheduler; further ones are placed by the entry.
 	maxPending = 256
 	// maxReportItems is the number of unsent reports from which a message is sent at once.
@@ -96,8 +98,8 @@
 	// startedAt holds when each of them was sent.
 	startedAt map[uint64]time.Time
 	out       *encoder.ScheduleAsk
-	// changed is set when a request has started or ended since the last report of all that runs.
-	changed bool
+	// changedAt is when a request last started or ended.
+	changedAt time.Time
 	// unsentSince is when the oldest unsent report was added.
 	unsentSince time.Time
 }
@@ -160,16 +162,29 @@
 	}
 }
 
-// WantedHosts lists the control hosts to keep sessions with: for each service with requests the scheduling host and the one
-// that follows it when it fails.
+// WantedHosts lists the control hosts to keep sessions with: for each service with requests the first two, and further ones
+// until two of them are reached.
 func (c *Client) WantedHosts() []string {
 	hosts := c.cfg.Hosts()
+	alive := sycamorevane.NewSet(c.cfg.Transport.Self())
+	for _, peer := range c.cfg.Transport.Peers() {
+		if peer.Alive {
+			alive.Add(peer.Name)
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wanted := sycamorevane.NewSet[string]()
 	for service := range c.pools {
-		for _, name := range rankHosts(service, c.cfg.DC, hosts)[:min(2, len(hosts))] {
+		reached := 0
+		for i, name := range rankHosts(service, c.cfg.DC, hosts) {
+			if i >= wantedHosts && reached >= wantedHosts {
+				break
+			}
 			wanted.Add(name)
+			if alive.Has(name) {
+				reached++
+			}
 		}
 	}
 	return wanted.Sorted()
@@ -221,7 +236,7 @@
 
 // reportRunning reports all running requests to a scheduler that does not know them.
 func (c *Client) reportRunning(p *clientPool, now time.Time) {
-	p.changed, p.out.Complete, p.out.Started = false, true, p.out.Started[:0]
+	p.out.Complete, p.out.Started = true, p.out.Started[:0]
 	for id, s := range p.running {
 		s.Age = milliseconds(now.Sub(p.startedAt[id]))
 		p.out.Started = append(p.out.Started, s)
@@ -380,7 +395,7 @@
 
 // addReport schedules the sending of a report that was added to p.out.
 func (c *Client) addReport(p *clientPool, now time.Time) {
-	p.changed = true
+	p.changedAt = now
 	if p.unsentSince.IsZero() {
 		p.unsentSince = now
 		c.signal()
@@ -450,12 +465,13 @@
 	}
 }
 
-// reportAll reports all that runs to each scheduler, unless nothing has happened and nothing runs.
+// reportAll reports all that runs to each scheduler. It goes on until the end of the last request must have become known: a
+// scheduler believes only a list that was sent more than minUnlistedAge after the start of the request.
 func (c *Client) reportAll(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range c.pools {
-		if p.changed || len(p.running) > 0 {
+		if len(p.running) > 0 || now.Sub(p.changedAt) <= minUnlistedAge+completeInterval {
 			c.reportRunning(p, now)
 		}
 	}
@@ -598,7 +614,7 @@
 	switch {
 	case d.Server != 0:
 		p.running[d.Id] = &encoder.ScheduleStart{Id: d.Id, Server: d.Server, Route: w.request.Route, Work: w.request.Work}
-		p.startedAt[d.Id] = now
+		p.startedAt[d.Id], p.changedAt = now, now
 		w.result <- result{placement: dispatcher.Placement{ID: d.Id, Server: d.Server, Scheduler: host}}
 	case leavesToEntry(d):
 		w.result <- result{}
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -332,14 +332,17 @@
 	runSetup(t, func(t *testing.T, s *setup) {
 		s.warmUp()
 		host, _ := s.schedulingHost()
-		placement := s.mustPlace("entry1")
-		s.setLost(func(_, to string) bool { return to == host })
-		s.finish("entry1", placement)
-		time.Sleep(2 * reportInterval)
-		require.Equal(t, 1, s.summary(host).Running)
-		s.setLost(func(string, string) bool { return false })
-		time.Sleep(completeInterval + minUnlistedAge)
-		require.Zero(t, s.summary(host).Running)
+		for range 7 { // At different times since the last list of all that runs.
+			placement := s.mustPlace("entry1")
+			s.setLost(func(_, to string) bool { return to == host })
+			s.finish("entry1", placement)
+			time.Sleep(2 * reportInterval)
+			require.Equal(t, 1, s.summary(host).Running)
+			s.setLost(func(string, string) bool { return false })
+			time.Sleep(completeInterval + minUnlistedAge)
+			require.Zero(t, s.summary(host).Running)
+			time.Sleep(completeInterval / 7)
+		}
 	})
 }
 
--- a/coordinator/prober_test.go
+++ b/coordinator/prober_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
 	"sycamorevane.example/sycamorevane"
@@ -23,10 +24,10 @@
 		w.Header().Set("Cold", "250")
 	}))
 	defer h.Close()
-	p := NewProber("Name", "Cold", func(h http.Header) *sycamorevane.LoadReport {
+	p := NewProber(ProberConfig{InstanceHeader: "Name", ColdHeader: "Cold", Log: logr.Discard(), ParseLoad: func(h http.Header) *sycamorevane.LoadReport {
 		n, _ := strconv.Atoi(h.Get("Running"))
 		return &sycamorevane.LoadReport{Running: n}
-	})
+	}})
 	defer p.Close()
 	s := sycamorevane.Server{ID: "x@1", InstanceName: "x", Addr: h.Listener.Addr().String()}
 	for range 3 {
--- a/dispatcher/scheduled.go
+++ b/dispatcher/scheduled.go
@@ -91,11 +91,11 @@
 		if err != nil {
 			return sycamorevane.Grant{}, err
 		}
-		g, s := d.useGrant(w, placement)
-		if s != "" {
+		g, fit := d.useGrant(w, placement)
+		if fit == fits {
 			return g, nil
 		}
-		d.cfg.Scheduler.Return(w.req.Service, placement, true)
+		d.cfg.Scheduler.Return(w.req.Service, placement, fit == forbidden)
 		if g.Server.ID == "" {
 			break
 		}
@@ -120,9 +120,20 @@
 	return a
 }
 
-// useGrant starts the request on the granted server if this entry's own rules allow it, and returns the ID of the server. If
-// they do not, the ID is empty and the grant names only the server, if this entry knows it.
-func (d *Dispatcher) useGrant(w *waiter, placement Placement) (sycamorevane.Grant, string) {
+// fit tells whether a granted server may be used.
+type fit uint8
+
+const (
+	fits fit = iota
+	// unfit means that this request cannot use the server, or that this entry does not know it.
+	unfit
+	// forbidden means that no request of this entry may use the server.
+	forbidden
+)
+
+// useGrant starts the request on the granted server if this entry's own rules allow it. If they do not, the grant names only
+// the server, if this entry knows it.
+func (d *Dispatcher) useGrant(w *waiter, placement Placement) (sycamorevane.Grant, fit) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -135,18 +146,21 @@
 		return uint32(s.hash) == placement.Server && s.record.Server.DC == d.core.dc
 	})
 	if i < 0 {
-		return sycamorevane.Grant{}, ""
+		return sycamorevane.Grant{}, unfit
 	}
 	s := p.servers[i]
 	svc := v.state.Config.Service(w.req.Service)
-	if w.versionChoice.trial || !usable(v, s, w.versionChoice.version, w.req.ExcludedServers) || s.isLeaving() || s.limited() || isCold(v, s, svc) {
-		return sycamorevane.Grant{Server: s.record.Server}, ""
+	if !usable(v, s, "", nil) || s.isLeaving() || s.limited() || isCold(v, s, svc) {
+		return sycamorevane.Grant{Server: s.record.Server}, forbidden
+	}
+	if w.versionChoice.trial || !usable(v, s, w.versionChoice.version, w.req.ExcludedServers) {
+		return sycamorevane.Grant{Server: s.record.Server}, unfit
 	}
 	p.lastRequest = now
 	d.countRequest(s)
 	g := sycamorevane.Grant{ID: d.core.startRequest(now, s), Server: withMaxConns(s.record.Server, svc), Scheduler: placement.Scheduler}
 	d.scheduled[g.ID] = scheduledRequest{placement.ID, w.req.Service, s.record.Server.ID}
-	return g, s.record.Server.ID
+	return g, fits
 }
 
 // placeUnscheduled offers a request that the scheduler has refused to the servers that it does not grant: cold and limited
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -38,10 +38,11 @@
 	reused    bool
 	// serverIdleTimeout is how long the server keeps an idle connection open; 0 when it has not said.
 	serverIdleTimeout time.Duration
-	// progressTimeout limits each read and write of a body. bodyDeadlineNs limits all reads of a response body, in Unix ns;
-	// 0 for no limit. It is atomic because it is changed while a prefixBuffer reads the body.
+	// progressTimeout limits each read and write of a body. bodyDeadline limits all reads of a response body; nil for no
+	// limit. It is atomic because it is changed while a prefixBuffer reads the body, and a time.Time because its monotonic
+	// clock reading keeps it right when the wall clock jumps.
 	progressTimeout time.Duration
-	bodyDeadlineNs  atomic.Int64
+	bodyDeadline    atomic.Pointer[time.Time]
 	// headerRemaining is how many more bytes the response header may have; negative while the body is read.
 	headerRemaining int
 	// bytesSent counts the bytes passed to the kernel in the current exchange.
@@ -113,7 +114,7 @@
 // beginExchange resets the limits of the connection for a new exchange.
 func (c *serverConn) beginExchange(progressTimeout time.Duration) {
 	c.progressTimeout = progressTimeout
-	c.bodyDeadlineNs.Store(0)
+	c.bodyDeadline.Store(nil)
 	c.headerRemaining = maxResponseHeaderBytes
 	c.bytesSent.Store(0)
 }
@@ -121,10 +122,10 @@
 // setBodyDeadline limits all reads of a response body; the zero time means no limit.
 func (c *serverConn) setBodyDeadline(t time.Time) {
 	if t.IsZero() {
-		c.bodyDeadlineNs.Store(0)
+		c.bodyDeadline.Store(nil)
 		return
 	}
-	c.bodyDeadlineNs.Store(t.UnixNano())
+	c.bodyDeadline.Store(&t)
 }
 
 // awaitStatusLine waits for the start of a response and fails as soon as the bytes cannot be one.
@@ -156,8 +157,8 @@
 func (r *connReader) Read(p []byte) (int, error) {
 	if r.headerRemaining < 0 {
 		deadline := time.Now().Add(r.progressTimeout)
-		if ns := r.bodyDeadlineNs.Load(); ns != 0 && ns < deadline.UnixNano() {
-			deadline = time.Unix(0, ns)
+		if t := r.bodyDeadline.Load(); t != nil && t.Before(deadline) {
+			deadline = *t
 		}
 		_ = r.Conn.SetReadDeadline(deadline)
 		return r.Conn.Read(p)
--- a/forwarder/key.go
+++ b/forwarder/key.go
@@ -43,17 +43,17 @@
 // checkCredential rejects a request whose key was revoked after the request arrived, for example during a slow upload or
 // the wait for a server. It is called before each attempt.
 func (c *call) checkCredential() error {
-	if x := c.f.current(); x != nil && x.requiresKeys(&c.f.dialect) && !c.index.requiresKeys(&c.f.dialect) {
+	x := c.f.current()
+	if x == c.index || x == nil || !x.requiresKeys(&c.f.dialect) {
+		return nil
+	}
+	if !c.index.requiresKeys(&c.f.dialect) {
 		// Its header was built without regard to keys and may contain one.
 		return c.newRefusedError("keys are required since the request arrived", movedKeyRetryAfter)
 	}
 	if c.credential == "" || c.rule != nil && c.rule.Public {
 		return nil
 	}
-	x := c.f.current()
-	if x == c.index || x == nil || !x.requiresKeys(&c.f.dialect) {
-		return nil
-	}
 	switch w := x.workspacesByDigest[c.credential]; {
 	case w == nil:
 		return c.f.unauthorized("key was revoked")
--- a/forwarder/key_test.go
+++ b/forwarder/key_test.go
@@ -317,4 +317,12 @@
 			assert.Len(t, r.started, map[bool]int{true: 1, false: 0}[tc.status == 200])
 		})
 	}
+	t.Run("while the first workspaces are configured", func(t *testing.T) {
+		r := newKeyRig(t)
+		r.onAcquire = func(sycamorevane.Request) { r.configure(kept) }
+		resp, _, err := r.do("POST", "/set/x", "", "Caller-Key", "k-jubo")
+		require.NoError(t, err)
+		assert.Equal(t, 503, resp.StatusCode)
+		assert.Empty(t, r.started)
+	})
 }
--- a/runner/placement.go
+++ b/runner/placement.go
@@ -45,7 +45,9 @@
 func newCoordinator(c *discoveryControl) *coordinator.Coordinator {
 	p := c.p
 	d := p.cfg.Adapter.Dialect()
-	c.prober = coordinator.NewProber(d.Instance, d.ColdRemaining, d.ParseLoad)
+	c.prober = coordinator.NewProber(coordinator.ProberConfig{
+		InstanceHeader: d.Instance, ColdHeader: d.ColdRemaining, ParseLoad: d.ParseLoad, Log: p.cfg.Log,
+	})
 	return coordinator.New(coordinator.Config{
 		Transport: p.mesh, DC: p.cfg.Settings.DC, NewPool: func() scheduler.Pool { return scheduler.New(scheduler.Config{}) },
 		Servers: c.catalog.All, State: c.stateMachine.State, Probe: c.prober.Probe, Log: p.cfg.Log, Metrics: p.metrics,
