--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -491,3 +492,14 @@
 		require.Equal(t, serverCount, s.summary(host).Servers)
 	})
 }
+
+// Guards against entries without a scheduling host although some are alive, because sessions are kept with dead ones only.
+func TestSessionsAreKeptUntilTwoHostsAreReached(t *testing.T) {
+	runSetup(t, func(t *testing.T, s *setup) {
+		s.warmUp()
+		ranked := rankHosts(serviceName, "a", []string{"control1", "control2", "gone1", "gone2", "gone3"})
+		s.hosts = func(string) []string { return ranked }
+		last := max(slices.Index(ranked, "control1"), slices.Index(ranked, "control2"))
+		require.ElementsMatch(t, ranked[:max(2, last+1)], s.clients["entry1"].WantedHosts())
+	})
+}
