review: an order runs twice after a late copy of a rejected health check

A late second copy of a rejected health check carries no request id. An entry that gets it in place of the answer to an order takes the order as not run and sends it to a second server: TWICE, at times REFUSED.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// traffic sends reads to the entries in turn until the returned function is called. It counts what was served.
-func (b *bed) traffic(interval time.Duration) (stop func() (sent, served int)) {
+// traffic sends requests to the entries in turn until the returned function is called. It counts what was served.
+func (b *bed) traffic(interval time.Duration, method, path string) (stop func() (sent, served int)) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	sent, served := 0, 0
@@ -26,7 +26,7 @@
 			case <-t.C:
 			}
 			wg.Go(func() {
-				r := c.get(entries[i%len(entries)], "/read/x")
+				r := c.send(entries[i%len(entries)], method, path, "")
 				mu.Lock()
 				defer mu.Unlock()
 				sent++
@@ -54,7 +54,7 @@
 	}
 	controls := b.of("core")
 	frozen := controls[4]
-	stop := b.traffic(trafficInterval)
+	stop := b.traffic(trafficInterval, http.MethodGet, "/read/x")
 	defer stop()
 	if _, err := b.order(controls[:2], http.MethodPost, "/evacuate/zone-a/start", ""); err != nil {
 		return false, err
@@ -118,7 +118,7 @@
 // the kill and returns what ends the disruption. The rule is broken if less than a quarter is served after the recovery,
 // though a quarter or more was before.
 func (b *bed) recover(strike func() (stop func())) (bool, error) {
-	stop := b.traffic(trafficInterval)
+	stop := b.traffic(trafficInterval, http.MethodGet, "/read/x")
 	time.Sleep(5 * time.Second)
 	sentBefore, servedBefore := stop()
 	b.note("before the final fault: %d of %d requests served", servedBefore, sentBefore)
@@ -136,7 +136,7 @@
 		return false, err
 	}
 	time.Sleep(recovery)
-	stop = b.traffic(trafficInterval)
+	stop = b.traffic(trafficInterval, http.MethodGet, "/read/x")
 	time.Sleep(15 * time.Second)
 	sent, served := stop()
 	b.note("later than %v after the machines were back: %d of %d requests served", recovery, served, sent)
--- a/review/standin/late.go
+++ b/review/standin/late.go
@@ -13,17 +13,22 @@
 )
 
 // Limits of the disruption in the late case, as in the users' site file: extraShare of the targets send a late second
-// copy of extraRate of their answers.
+// copy of extraRate of their answers for extraFor. It comes again after extraPause.
 const (
-	extraShare = 0.6
-	extraRate  = 0.03
-	lateSlots  = 4
-	lateQueue  = 2
+	extraShare  = 0.6
+	extraRate   = 0.03
+	extraFor    = 5 * time.Second
+	extraPause  = 3 * time.Second
+	lateTargets = 15
+	lateSlots   = 4
+	lateQueue   = 2
 )
 
-// Requests arrive every latePace on average, near what the targets can run, for lateDuration.
+// Requests arrive every latePace on average, at three quarters of what the targets can run, for lateDuration. While the
+// disruption lasts, lateBurst times as many arrive.
 const (
-	latePace     = 3400 * time.Microsecond
+	latePace     = 1955 * time.Microsecond
+	lateBurst    = 1.7
 	lateDuration = 90 * time.Second
 )
 
@@ -38,6 +43,9 @@
 	extras   int
 }
 
+// inWindow reports whether the disruption lasts at this moment.
+func (b *bed) inWindow() bool { return time.Since(b.start)%(extraFor+extraPause) < extraFor }
+
 // addPlainTarget starts a plain target that checks in like any other.
 func (b *bed) addPlainTarget(service, zone string, faulty bool) (*plainTarget, error) {
 	l, err := net.Listen("tcp", b.net+"200:0")
@@ -93,7 +101,7 @@
 		if _, err := io.WriteString(c, answer); err != nil {
 			return
 		}
-		if t.faulty && rand.Float64() < extraRate {
+		if t.faulty && t.bed.inWindow() && rand.Float64() < extraRate {
 			extra, of = answer, req.URL.Path+" "+id+" ("+strings.SplitN(answer, "\r\n", 2)[0]+")"
 			t.mu.Lock()
 			t.extras++
@@ -146,15 +154,15 @@
 // late sends requests that may run only once to targets that at times send a second copy of an answer. The rule is
 // broken if one of them runs twice, or has run and is answered as not run.
 func late(b *bed, trouble bool) (bool, error) {
-	b.addHosts(3, 3)
+	b.addHosts(3, 6)
 	if err := b.startHosts(b.hosts); err != nil {
 		return false, err
 	}
 	if _, err := b.order(b.of("core"), http.MethodPost, "/config/replace", config(3)); err != nil {
 		return false, err
 	}
-	for i := range 6 {
-		t, err := b.addPlainTarget("board", "zone-"+string(rune('a'+i%3)), trouble && float64(i) < extraShare*6-0.5)
+	for i := range lateTargets {
+		t, err := b.addPlainTarget("board", "zone-"+string(rune('a'+i%3)), trouble && float64(i+1) <= extraShare*lateTargets)
 		if err != nil {
 			return false, err
 		}
@@ -179,7 +187,11 @@
 			defer mu.Unlock()
 			results[r.id] = r
 		})
-		time.Sleep(time.Duration(rand.ExpFloat64() * float64(latePace)))
+		pace := float64(latePace)
+		if b.inWindow() {
+			pace /= lateBurst
+		}
+		time.Sleep(time.Duration(rand.ExpFloat64() * pace))
 	}
 	wg.Wait()
 	runs := make(map[string]int)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,6 +11,7 @@
 
 // cases maps a name to a function that reports whether the rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (bool, error){
+	"crashing":     crashing,
 	"evacuate":     evacuate,
 	"late":         late,
 	"stopping":     stopping,
--- a/review/standin/peers.go
+++ b/review/standin/peers.go
@@ -30,8 +30,9 @@
 	wg                      sync.WaitGroup
 	workTime                time.Duration
 	// longWork is how long requests for paths that end with long take.
-	longWork                  time.Duration
-	respond                   func(w http.ResponseWriter, r *http.Request) bool
+	longWork time.Duration
+	// respond handles a request and reports whether nothing more is to be done; nil for the usual answer.
+	respond                   func(t *target, w http.ResponseWriter, r *http.Request) bool
 	mu                        sync.Mutex
 	sequence, running         int
 	arrivals                  []arrival
@@ -54,7 +55,14 @@
 	if err != nil {
 		return err
 	}
+	b.startTarget(l, service, zone, nil)
+	return nil
+}
+
+// startTarget starts a target on a listener.
+func (b *bed) startTarget(l net.Listener, service, zone string, respond func(*target, http.ResponseWriter, *http.Request) bool) *target {
 	t := b.newTarget(service, zone, l.Addr().String())
+	t.respond = respond
 	t.server = &http.Server{Handler: t}
 	t.wg.Go(func() { _ = t.server.Serve(l) })
 	t.wg.Go(t.checkIn)
@@ -62,7 +70,7 @@
 	b.targets = append(b.targets, t)
 	b.mu.Unlock()
 	b.note("target %s of %s in %s starts at %s", t.id, service, zone, t.addr)
-	return nil
+	return t
 }
 
 func (t *target) stop() {
@@ -140,7 +148,7 @@
 		t.mu.Unlock()
 	}()
 	t.bed.note("target %s (%s) runs request %s %s", t.id, t.zone, id, r.URL.Path)
-	if t.respond != nil && t.respond(w, r) {
+	if t.respond != nil && t.respond(t, w, r) {
 		return
 	}
 	work := t.workTime
