Control group: a host that joins takes the place of a silent voter

Cause: a silent member was removed only while it was the only silent one for 12 s. Two replacements less than 12 s apart break this condition for good, and each further one adds a voter that does not exist. With eight voters, three of them gone, four hosts with disks are no majority, and the fifth votes only together with all others.

Change: the rule moved from the runner into the core. A learner that joined without naming a member takes the place of the voter that has been silent the longest (2 s or more) when it is promoted; silent members without a successor are removed one at a time after 12 s, as long as the voters that reply can lose the disks of the new setting "losses". This works because the number of voters no longer grows with replacements and no condition depends on how many are silent.

--- a/parser/discovery.go
+++ b/parser/discovery.go
@@ -98,6 +98,9 @@
 	// MaxTrialShare is the largest fraction of a service's requests that a bad version may receive; defaultMaxTrialShare
 	// if not set.
 	MaxTrialShare float64
+	// LostHosts is the number of control hosts that may be lost at the same time, with their disks; defaultLostHosts if not
+	// set.
+	LostHosts int
 	// ReportWindow is the length of a window of usage reports; 0 if there are no usage reports.
 	ReportWindow time.Duration
 	// UsageLate is the time after the end of a window by which its report is due; defaultUsageLate if not set.
@@ -112,11 +115,15 @@
 	EnforceFencing bool
 }
 
+// maxLostHosts limits DiscoveryBounds.LostHosts, far above the size of any control group.
+const maxLostHosts = 1000
+
 // minReportWindow is the shortest window of usage reports.
 const minReportWindow = time.Second
 
 // Defaults of the bounds that a deployment may lack because it does not use the feature that they limit.
 const (
+	defaultLostHosts    = 1
 	defaultGracePeriod  = 6 * time.Second
 	defaultDirectoryTTL = 2 * time.Second
 	// defaultRetryRatio keeps a brownout from being amplified by retries.
@@ -133,7 +140,7 @@
 
 func defaultBounds() DiscoveryBounds {
 	return DiscoveryBounds{
-		GracePeriod: defaultGracePeriod, DirectoryTTL: defaultDirectoryTTL, RetryRatio: defaultRetryRatio,
+		LostHosts: defaultLostHosts, GracePeriod: defaultGracePeriod, DirectoryTTL: defaultDirectoryTTL, RetryRatio: defaultRetryRatio,
 		ColdFactor: defaultColdFactor, MaxTrialShare: defaultMaxTrialShare,
 		UsageLate: defaultUsageLate, UsageTolerance: defaultUsageTolerance, Lease: defaultLease, ThawSlack: defaultThawSlack,
 	}
@@ -231,6 +238,7 @@
 		{"coldfactor", false, nonNegativeParser(&b.ColdFactor)},
 		{"coldslack", false, nonNegativeParser(&b.ColdSlack)},
 		{"trialshare", false, nonNegativeParser(&b.MaxTrialShare)},
+		{"losses", false, integerParser(&b.LostHosts, 0, maxLostHosts)},
 		{"usagewindow", false, usageWindowParser(&b.ReportWindow)},
 		{"usagelate", false, secondsParser(&b.UsageLate)},
 		{"usagetolerance", false, nonNegativeParser(&b.UsageTolerance)},
--- a/parser/discovery_test.go
+++ b/parser/discovery_test.go
@@ -29,6 +29,7 @@
 
 [bounds]
 heartbeat = 1500
+losses = 2
 grace = 6
 drain = 2500
 ttl = 5
@@ -45,6 +46,7 @@
 	require.Equal(t, "10.1.0.13:7720", s.MeshAddr())
 	require.Equal(t, []string{"10.1.0.13:7720", "10.2.0.43:7720"}, s.SeedMeshAddrs())
 	require.Equal(t, 1500*time.Millisecond, s.Bounds.HeartbeatInterval)
+	require.Equal(t, 2, s.Bounds.LostHosts)
 	require.Equal(t, 6*time.Second, s.Bounds.GracePeriod)
 	require.Equal(t, 2500*time.Millisecond, s.Bounds.DrainTime)
 	require.True(t, s.FirstStart)
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -34,6 +34,11 @@
 	heartbeatTicks = 5
 	// chunkResendTicks is the delay before an unacknowledged snapshot chunk is sent again.
 	chunkResendTicks = 10
+	// responsiveTicks is the time since the last reply up to which a member counts as responsive: two heartbeats.
+	responsiveTicks = 2 * heartbeatTicks
+	// replaceableTicks is the time without a reply after which a host that joins may take the place of a voter: 2 s. It is
+	// longer than an election, so that a new leader has heard from all members that run.
+	replaceableTicks = 40
 )
 
 const (
@@ -102,6 +107,26 @@
 	readResults       []readResult
 	// lostLogPeers names replicas that acknowledged entries earlier and are now recovering because they lost their log.
 	lostLogPeers []string
+	// departures lists the removals that this leader has started because a member no longer replies.
+	departures []departure
+}
+
+// departure is the removal of a member that no longer replies.
+type departure struct {
+	name string
+	// successor is the host that joined in its place; empty for none.
+	successor   string
+	silentTicks int
+	// responsive is the number of voters that replied recently, this leader included.
+	responsive int
+}
+
+// removalPolicy says when a leader removes members that no longer reply. The zero value disables removal.
+type removalPolicy struct {
+	// silentTicks is the time without a reply after which a member is removed.
+	silentTicks int
+	// minVoters is the number of responsive voters below which no voter is removed.
+	minVoters int
 }
 
 // disabledRules says which safety rules are disabled. Tests use it to show that the invariant checks detect a missing
@@ -170,6 +195,7 @@
 	rand     *rand.Rand
 	disabled disabledRules
 	limits   byteLimits
+	removal  removalPolicy
 	log      *log
 
 	// persistedHardState is the hard state that the store holds.
@@ -207,6 +233,7 @@
 	unsavedSnapshot    *sycamorevane.Snapshot
 	readResults        []readResult
 	lostLogPeers       []string
+	departures         []departure
 	// transferTarget is the voter to which leadership is being transferred; empty for none.
 	transferTarget string
 }
@@ -313,8 +340,8 @@
 
 // takeEffects returns and clears the pending effects. It returns committed entries only after the store holds them.
 func (c *core) takeEffects() effects {
-	e := effects{messages: c.messages, readResults: c.readResults, lostLogPeers: c.lostLogPeers}
-	c.messages, c.readResults, c.lostLogPeers = nil, nil, nil
+	e := effects{messages: c.messages, readResults: c.readResults, lostLogPeers: c.lostLogPeers, departures: c.departures}
+	c.messages, c.readResults, c.lostLogPeers, c.departures = nil, nil, nil, nil
 	if c.failed {
 		c.messagesAfterWrite = nil
 		return e
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -96,40 +96,131 @@
 }
 
 // advanceMembership continues membership changes: it promotes a learner that has caught up, removes the member that the
-// learner replaces, and steps down if this leader was removed.
+// learner replaces, removes members that no longer reply, and steps down if this leader was removed.
 func (c *core) advanceMembership() {
 	if !c.membershipCommitted() {
 		return
 	}
-	members := c.log.members()
 	if _, ok := c.findMember(c.self); !ok {
 		c.becomeFollower("")
 		return
 	}
+	if !c.promoteLearner() && !c.removeReplaced() {
+		c.removeSilent()
+	}
+}
+
+// promoteLearner makes a learner that has caught up a voter and reports whether there was one. A learner that was added
+// without a member to replace takes the place of the voter that has been silent the longest, so that the number of voters
+// that have to reply does not grow with each host that is replaced.
+func (c *core) promoteLearner() bool {
+	members := c.log.members()
 	for i, m := range members {
+		if m.Voter || !c.hasCaughtUp(c.peers[m.Name]) {
+			continue
+		}
+		replaced := m.Replaces
+		if replaced == "" {
+			var settled bool
+			if replaced, settled = c.replaceableVoter(); !settled {
+				return false
+			}
+		}
+		if replaced != m.Replaces {
+			c.reportDeparture(replaced, m.Name)
+		}
+		newMembers := slices.Clone(members)
+		newMembers[i].Voter, newMembers[i].Replaces = true, replaced
+		c.appendMembership(newMembers)
+		return true
+	}
+	return false
+}
+
+func (c *core) hasCaughtUp(p *progress) bool {
+	return p != nil && !p.recovering && p.pendingSnapshot == nil && !p.probing &&
+		p.matchIndex >= c.commitIndex && p.ticksSinceReply <= heartbeatTicks
+}
+
+// replaceableVoter returns the voter that has been silent the longest if that is at least replaceableTicks, else "".
+// settled is false while it is unclear whether a voter is only slow to reply.
+func (c *core) replaceableVoter() (name string, settled bool) {
+	longest := replaceableTicks - 1
+	for _, m := range c.log.members() {
+		if !m.Voter || m.Name == c.self {
+			continue
+		}
 		p := c.peers[m.Name]
-		if !m.Voter && p != nil && !p.recovering && p.pendingSnapshot == nil && !p.probing &&
-			p.matchIndex >= c.commitIndex && p.ticksSinceReply <= heartbeatTicks {
-			newMembers := slices.Clone(members)
-			newMembers[i].Voter = true
-			c.appendMembership(newMembers)
-			return
+		if !c.isResponsive(p) && p.ticksSinceReply < replaceableTicks {
+			return "", false
+		}
+		if p.ticksSinceReply > longest {
+			name, longest = m.Name, p.ticksSinceReply
 		}
 	}
+	return name, true
+}
+
+// isResponsive reports whether the member has replied to this leader within responsiveTicks.
+func (c *core) isResponsive(p *progress) bool {
+	return p.ackedRound > 0 && p.ticksSinceReply <= responsiveTicks
+}
+
+// removeReplaced removes the member that a voter replaces and reports whether there was one.
+func (c *core) removeReplaced() bool {
+	members := c.log.members()
 	for i, m := range members {
 		if !m.Voter || m.Replaces == "" {
 			continue
 		}
 		if m.Replaces == c.self {
 			c.transferLeadership()
-			return
+			return true
 		}
 		newMembers := slices.Clone(members)
 		newMembers[i].Replaces = ""
 		newMembers = slices.DeleteFunc(newMembers, func(o Member) bool { return o.Name == m.Replaces })
 		c.appendMembership(newMembers)
+		return true
+	}
+	return false
+}
+
+// removeSilent removes the member that has been silent the longest, as the removal policy says. Other members may be silent
+// as well: they are removed one after the other, each by a change that a majority of the rest commits. A removed host that
+// returns joins again.
+func (c *core) removeSilent() {
+	if c.removal.silentTicks == 0 {
 		return
 	}
+	silent, longest := Member{}, c.removal.silentTicks-1
+	for _, m := range c.log.members() {
+		if p := c.peers[m.Name]; p != nil && p.ticksSinceReply > longest {
+			silent, longest = m, p.ticksSinceReply
+		}
+	}
+	if silent.Name == "" || silent.Voter && c.responsiveVoters() < c.removal.minVoters {
+		return
+	}
+	c.reportDeparture(silent.Name, "")
+	c.appendMembership(slices.DeleteFunc(slices.Clone(c.log.members()), func(m Member) bool { return m.Name == silent.Name }))
+}
+
+// responsiveVoters counts the voters whose replies count, this leader included.
+func (c *core) responsiveVoters() int {
+	n := 0
+	for _, m := range c.log.members() {
+		if p := c.peers[m.Name]; m.Voter && (m.Name == c.self || c.isResponsive(p) && !p.recovering) {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *core) reportDeparture(name, successor string) {
+	c.departures = append(c.departures, departure{
+		name: name, successor: successor, silentTicks: c.peers[name].ticksSinceReply, responsive: c.responsiveVoters(),
+	})
 }
 
 // transferWithoutContact asks the voter with the highest matchIndex to start an election although this leader receives
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -66,6 +66,18 @@
 	Metrics     tally.Scope
 	// SnapshotEntries is the number of entries after which a snapshot is taken; zero means the default of 2048.
 	SnapshotEntries uint64
+	// Removal says when the leader removes members that no longer reply. It must be the same on all members.
+	Removal RemovalPolicy
+}
+
+// RemovalPolicy says when the leader removes members that no longer reply. The zero value disables removal.
+type RemovalPolicy struct {
+	// Silence is the time without a reply after which a member is removed. It must be longer than the disruptions that
+	// members are expected to survive.
+	Silence time.Duration
+	// MinVoters is the number of voters that must be responsive for a voter to be removed. With 2n+1 voters the log
+	// survives the loss of n disks.
+	MinVoters int
 }
 
 // UncertainCommitError means that it is unknown whether the command is or will be committed. Resending it with the same
@@ -90,8 +102,6 @@
 	// recovering is true while the host does not vote because it may have lost its log; see core.recovering.
 	recovering bool
 	members    []Member
-	// sinceLastReply is the time since each other member last replied to this leader; nil when this host does not lead.
-	sinceLastReply map[string]time.Duration
 }
 
 type requestKind uint8
@@ -143,7 +153,7 @@
 
 	mu     sync.Mutex
 	status status
-	// statusChanged is closed and replaced when the status changes, except for sinceLastReply.
+	// statusChanged is closed and replaced when the status changes.
 	statusChanged chan struct{}
 	// leaderChanged is closed and replaced when the leader or the term changes.
 	leaderChanged chan struct{}
@@ -185,8 +195,7 @@
 	if d, err = r.writeBootstrapEntry(d); err != nil {
 		return errors.Annotate(err, "writing the bootstrap entry of the control log")
 	}
-	r.core, err = newCore(r.cfg.Self, d, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	if err != nil {
+	if r.core, err = r.newCore(d); err != nil {
 		return errors.Trace(err)
 	}
 	if d.Snapshot.Index > 0 {
@@ -201,6 +210,15 @@
 	return nil
 }
 
+func (r *Replicator) newCore(d sycamorevane.DurableState) (*core, error) {
+	c, err := newCore(r.cfg.Self, d, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if err != nil {
+		return nil, err
+	}
+	c.removal = removalPolicy{silentTicks: int(r.cfg.Removal.Silence / TickInterval), minVoters: r.cfg.Removal.MinVoters}
+	return c, nil
+}
+
 // writeBootstrapEntry writes the first log entry of a new cluster if the store is empty. It writes the hard state
 // first, with term 1 and no vote, so that an interrupted bootstrap is recognised and repeated at the next start.
 func (r *Replicator) writeBootstrapEntry(d sycamorevane.DurableState) (sycamorevane.DurableState, error) {
@@ -300,7 +318,7 @@
 		r.cfg.Log.Info("failed store could not be reopened; will retry", "reason", err.Error())
 		return
 	}
-	c, err := newCore(r.cfg.Self, d, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	c, err := r.newCore(d)
 	if err != nil {
 		r.cfg.Log.Error(err, "membership in the reopened store could not be decoded")
 		return
@@ -367,6 +385,10 @@
 		for _, name := range e.lostLogPeers {
 			r.cfg.Log.Info("member returned without its log; it votes again once it has caught up", "peer", name)
 		}
+		for _, d := range e.departures {
+			r.cfg.Log.Info("silent control host is removed from the group", "peer", d.name, "successor", d.successor,
+				"silent", (time.Duration(d.silentTicks) * TickInterval).String(), "responsive_voters", d.responsive)
+		}
 		if !e.write.empty() {
 			r.persist(e.write)
 			continue
@@ -537,18 +559,11 @@
 		leader: c.leader, isLeader: c.role == leader, term: c.hardState.Term, appliedIndex: c.appliedIndex, failed: c.failed,
 		recovering: c.recovering, members: c.log.members(),
 	}
-	if c.role == leader {
-		s.sinceLastReply = make(map[string]time.Duration, len(c.peers))
-		for name, p := range c.peers {
-			s.sinceLastReply[name] = time.Duration(p.ticksSinceReply) * TickInterval
-		}
-	}
 	r.mu.Lock()
 	old := r.status
 	newLeader := old.leader != s.leader || old.term != s.term
 	if !newLeader && old.appliedIndex == s.appliedIndex && old.failed == s.failed &&
 		old.recovering == s.recovering && slices.Equal(old.members, s.members) {
-		r.status.sinceLastReply = s.sinceLastReply
 		r.mu.Unlock()
 		return
 	}
--- a/replicator/request.go
+++ b/replicator/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -113,19 +112,6 @@
 	return r.Replace(ctx, name, "")
 }
 
-// UnresponsiveMembers lists the members that have not replied to this leader for at least d. It is empty on hosts that
-// do not lead.
-func (r *Replicator) UnresponsiveMembers(d time.Duration) []string {
-	var names []string
-	for name, since := range r.currentStatus().sinceLastReply {
-		if since >= d {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 // sendToLeader sends a request to the leader, which is this host or another one. An error means that the outcome is
 // unknown.
 func (r *Replicator) sendToLeader(ctx context.Context, req *request, m proto.Message) (*encoder.ConsensusReply, error) {
--- a/replicator/schedule_test.go
+++ b/replicator/schedule_test.go
@@ -77,12 +77,15 @@
 	spareHosts int
 	// changesMembership makes hosts join, leave and rejoin instead of being replaced.
 	changesMembership bool
-	joins             int
-	removals          int
-	elections         int
-	completedReads    int
-	snapshotInstalls  int
-	diskLosses        int
+	// removal is the policy of all hosts.
+	removal          removalPolicy
+	departures       int
+	joins            int
+	removals         int
+	elections        int
+	completedReads   int
+	snapshotInstalls int
+	diskLosses       int
 	// members is the membership at membersIndex, the highest commit index of any host.
 	members        []Member
 	membersIndex   uint64
@@ -132,7 +135,7 @@
 		s.fail("%s: %v", h.name, err)
 		return
 	}
-	c.disabled = s.disabled
+	c.disabled, c.removal = s.disabled, s.removal
 	c.limits = byteLimits{appendBytes: s.appendBytes, chunkBytes: 300, catchUpBytes: 60}
 	h.core, h.machine = c, newRecordingMachine()
 	h.machineIndex, h.commitIndex = d.Snapshot.Index, d.Snapshot.Index
@@ -161,6 +164,7 @@
 			s.inFlight = append(s.inFlight, packet{h.name, m})
 		}
 		s.completeReads(h, e.readResults)
+		s.departures += len(e.departures)
 		if !e.write.empty() {
 			err := writeToStore(h.store, e.write)
 			if err == errCrash {
@@ -592,10 +596,14 @@
 // Guards against membership changes that lose a command or allow two leaders in a term: hosts join, are removed while
 // they are partitioned, and rejoin with an old log or an empty disk.
 func TestMembershipSchedules(t *testing.T) {
-	var acked, joined, removed, wipes int
+	var acked, joined, removed, departed, wipes int
 	checkSeeds(t, 8, func(rt *rapid.T) {
 		s := drawSimulation(rt, disabledRules{})
 		s.changesMembership, s.spareHosts = true, 4
+		s.removal = removalPolicy{silentTicks: 30, minVoters: 3}
+		for _, h := range s.hosts {
+			h.core.removal = s.removal
+		}
 		s.probabilities.replace = 0.01
 		s.run(scheduleSteps)
 		if s.violation != "" {
@@ -604,15 +612,17 @@
 		acked += len(s.ackedCommands)
 		joined += s.joins
 		removed += s.removals
+		departed += s.departures
 		wipes += s.diskLosses
 	})
-	t.Logf("acknowledged %d, joined %d, removed %d, lost disks %d", acked, joined, removed, wipes)
+	t.Logf("acknowledged %d, joined %d, removed %d, silent ones removed %d, lost disks %d", acked, joined, removed, departed, wipes)
 	if soakSeeds() > 0 {
 		return
 	}
 	require.Greater(t, acked, 500)
 	require.Greater(t, joined, 20)
 	require.Greater(t, removed, 10)
+	require.Greater(t, departed, 5)
 	require.Greater(t, wipes, 5)
 }
 
--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -32,14 +32,15 @@
 	joinTimeout  = 400 * time.Millisecond
 	// memberRemovalTimeout is how long a control host must be unresponsive before it is removed from the group, so that
 	// it no longer counts towards the majority. It joins again when it is back. The timeout is longer than the
-	// disruptions that hosts survive.
+	// disruptions that hosts survive. A host that joins takes the place of an unresponsive one earlier.
 	memberRemovalTimeout = 12 * time.Second
 	// contactCheckInterval is how often a control host checks for entries that have just started and for a changed leader.
 	contactCheckInterval = 100 * time.Millisecond
 	// startupReportPeriod is how long after its start a control host accepts reports of servers without knowing a leader.
 	startupReportPeriod = 3 * time.Second
-	// minMembersAfterRemoval is the smallest number of members that a removal may leave.
-	minMembersAfterRemoval = 3
+	// minRemainingVoters is the smallest number of voters that a removal may leave: with fewer, the loss of one more host
+	// would end control.
+	minRemainingVoters = 3
 	// maxDirectoryAddrs limits the addresses in a response of the directory.
 	maxDirectoryAddrs = 64
 	// maxDirectoryAge is how long the directory may reuse its list of entries, since a small control host answers
@@ -81,6 +82,7 @@
 	c.replicator = replicator.New(replicator.Config{
 		Self: p.mesh.Self(), Transport: p.mesh, Store: store, StateMachine: c.stateMachine,
 		BootstrapVoters: c.bootstrapVoters(), ReopenStore: openStore, Log: p.cfg.Log, Metrics: p.metrics,
+		Removal: replicator.RemovalPolicy{Silence: memberRemovalTimeout, MinVoters: max(minRemainingVoters, 2*s.Bounds.LostHosts+1)},
 	})
 	c.reads.read = func(ctx context.Context) error {
 		_, err := c.replicator.ReadIndex(ctx)
@@ -377,7 +379,7 @@
 	return c.propose(applier.OpStep, stepArgs(service, step))
 }
 
-// membershipLoop keeps this host in the control group. On the leader it removes lost members.
+// membershipLoop keeps this host in the control group.
 func (c *discoveryControl) membershipLoop() {
 	t := time.NewTicker(joinInterval)
 	defer t.Stop()
@@ -387,30 +389,16 @@
 		case <-c.p.ctx.Done():
 			return
 		}
-		if self, _ := c.isLeader(); self {
-			c.removeLostMember()
+		name, self, _ := c.replicator.Leader()
+		if self {
 			continue
 		}
-		name, _, _ := c.replicator.Leader()
 		if name == "" || !slices.Contains(c.members(), c.p.mesh.Self()) {
 			c.join()
 		}
 	}
 }
 
-// removeLostMember removes a member that is unresponsive, but only while all others respond: when several are unresponsive,
-// the cause may be a disruption after which they come back.
-func (c *discoveryControl) removeLostMember() {
-	unresponsive := c.replicator.UnresponsiveMembers(memberRemovalTimeout)
-	if len(unresponsive) != 1 || len(c.members())-1 < minMembersAfterRemoval || len(c.replicator.UnresponsiveMembers(time.Second)) != 1 {
-		return
-	}
-	c.p.cfg.Log.Info("control host is taken out of the group", "peer", unresponsive[0], "silent", memberRemovalTimeout.String())
-	ctx, cancel := context.WithTimeout(c.p.ctx, time.Second)
-	defer cancel()
-	c.logFailure("control host not removed from the group", c.replicator.RemoveMember(ctx, unresponsive[0]))
-}
-
 // join asks the known control hosts, and the leaders that they name, to add this host to the control group.
 func (c *discoveryControl) join() {
 	tried := sycamorevane.NewSet(c.p.mesh.Self())
