Operators' commands are decided on the newest state

Cause: Evacuate returned success when the state applied on this host had the data centre drained. The host had been cut off or stopped since, and did not know that the drain was taken back.

Evidence: the host that acknowledged logs neither "order decided" nor "order not committed" for the second order.

Change: every evacuation is committed, and the state machine decides in log order. StartRollout, which compared with the same state, reads behind a barrier first, and the acknowledgement of a leaving server confirms the record that it finds behind a barrier. A host without a leader refuses, so an acknowledgement now always follows a commit or a confirmed read.

Tests: TestCommandsOnALaggingHost; its five subtests for evacuations and rollouts failed before (the three for leaving servers test a function that is new).

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -126,10 +126,9 @@
 }
 
 // Evacuate drains a data centre, or undrains it if drain is false. Errors: *InvalidError, *UnavailableError.
+//
+// A resent command is committed again: the state of this host may be older than a drain that was taken back.
 func (a *Administrator) Evacuate(ctx context.Context, dc string, drain bool) error {
-	if _, drained := a.cfg.State().DrainedDCs[dc]; drained && drain {
-		return nil
-	}
 	op := applier.OpUndrain
 	if drain {
 		op = applier.OpDrain
@@ -140,6 +139,9 @@
 // StartRollout starts a rollout of a service to a version with the given time limit. Sending the same command again is
 // accepted. Errors: *InvalidError, *ConflictError, *UnavailableError.
 func (a *Administrator) StartRollout(ctx context.Context, service, version string, timeLimit time.Duration) error {
+	if err := a.cfg.ReadBarrier(ctx); err != nil {
+		return &UnavailableError{Reason: err.Error()}
+	}
 	now := a.cfg.Clock.Now()
 	if r, ok := a.cfg.State().Rollouts[service]; ok {
 		recent := now.Sub(time.UnixMilli(r.ChangedAt)) < resendWindow
@@ -172,6 +174,16 @@
 	return a.commit(ctx, applier.Command{Op: applier.OpLeave, Args: applier.Args{RemovedServers: ids}})
 }
 
+// LeavingRecorded reports whether the server is recorded as leaving. It confirms a record in the state of this host with a
+// read barrier, since records are removed again.
+func (a *Administrator) LeavingRecorded(ctx context.Context, id string) bool {
+	isRecorded := func() bool {
+		_, ok := a.cfg.State().DrainedServers[id]
+		return ok
+	}
+	return isRecorded() && a.cfg.ReadBarrier(ctx) == nil && isRecorded()
+}
+
 func (a *Administrator) commit(ctx context.Context, c applier.Command) error {
 	c.Actor, c.AcceptedAt = "operator", a.cfg.Clock.Now().UnixMilli()
 	c.ID = fmt.Sprintf("%016x", rand.Uint64())
--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -214,3 +214,93 @@
 	require.NoError(t, restored.Restore(data))
 	require.Len(t, restored.State().DrainedServers, 2, "acknowledged records are in the snapshot")
 }
+
+// newLaggingAdministrator returns an administrator on a host that has applied no command since the call, and one on a host
+// that is up to date. ReadBarrier lets the former catch up.
+func newLaggingAdministrator(t *testing.T, prepare func(*Administrator)) (lagging, current *Administrator, c *fakeControl) {
+	t.Helper()
+	current, c = newAdministrator()
+	prepare(current)
+	applied := c.machine.State()
+	cfg := current.cfg
+	cfg.State = func() *sycamorevane.State { return applied }
+	cfg.ReadBarrier = func(context.Context) error {
+		if c.disconnected {
+			return errors.New("no leader")
+		}
+		applied = c.machine.State()
+		return nil
+	}
+	return New(cfg), current, c
+}
+
+// Guards against commands that a host acknowledges from a state in which they are in force, although they were taken back
+// since.
+func TestCommandsOnALaggingHost(t *testing.T) {
+	ctx := context.Background()
+	drained := func(a *Administrator) {
+		require.NoError(t, a.Configure(ctx, testConfig(1, "/x/")))
+		require.NoError(t, a.Evacuate(ctx, "a", true))
+	}
+	t.Run("a data centre is drained again", func(t *testing.T) {
+		lagging, current, c := newLaggingAdministrator(t, drained)
+		require.NoError(t, current.Evacuate(ctx, "a", false))
+		require.NoError(t, lagging.Evacuate(ctx, "a", true))
+		require.Contains(t, c.machine.State().DrainedDCs, "a")
+	})
+	t.Run("a data centre is drained again without contact", func(t *testing.T) {
+		lagging, current, c := newLaggingAdministrator(t, drained)
+		require.NoError(t, current.Evacuate(ctx, "a", false))
+		c.disconnected = true
+		var unavailable *UnavailableError
+		require.ErrorAs(t, lagging.Evacuate(ctx, "a", true), &unavailable)
+	})
+	rolledOut := func(a *Administrator) {
+		require.NoError(t, a.Configure(ctx, testConfig(1, "/x/")))
+		require.NoError(t, a.StartRollout(ctx, "s", "v2", 3*time.Second))
+	}
+	revert := func(c *fakeControl) {
+		r := c.machine.State().Rollouts["s"]
+		_, err := c.propose(ctx, mustEncode(t, applier.Command{Op: applier.OpStep, AcceptedAt: c.now.UnixMilli(), Args: applier.Args{
+			Service: "s", Step: &applier.Step{Rollout: r.ID, FromPhase: r.Phase, Phase: sycamorevane.RolloutReverted},
+		}}))
+		require.NoError(t, err)
+		require.Equal(t, sycamorevane.RolloutReverted, c.machine.State().Rollouts["s"].Phase)
+		c.now = c.now.Add(2 * resendWindow)
+	}
+	t.Run("a version is rolled out again", func(t *testing.T) {
+		lagging, _, c := newLaggingAdministrator(t, rolledOut)
+		revert(c)
+		require.NoError(t, lagging.StartRollout(ctx, "s", "v2", 3*time.Second))
+		require.False(t, c.machine.State().Rollouts["s"].Phase.Terminal())
+	})
+	t.Run("another version is rolled out", func(t *testing.T) {
+		lagging, _, c := newLaggingAdministrator(t, rolledOut)
+		revert(c)
+		require.NoError(t, lagging.StartRollout(ctx, "s", "v3", 3*time.Second))
+		require.Equal(t, "v3", c.machine.State().Rollouts["s"].ToVersion)
+	})
+	t.Run("a version is rolled out again without contact", func(t *testing.T) {
+		lagging, _, c := newLaggingAdministrator(t, rolledOut)
+		c.disconnected = true
+		var unavailable *UnavailableError
+		require.ErrorAs(t, lagging.StartRollout(ctx, "s", "v2", 3*time.Second), &unavailable)
+	})
+	leaving := func(a *Administrator) { require.NoError(t, a.RecordLeaving(ctx, []string{"x"})) }
+	t.Run("a record of a leaving server that is kept", func(t *testing.T) {
+		lagging, _, _ := newLaggingAdministrator(t, leaving)
+		require.True(t, lagging.LeavingRecorded(ctx, "x"))
+		require.False(t, lagging.LeavingRecorded(ctx, "y"))
+	})
+	t.Run("a record of a leaving server that was removed", func(t *testing.T) {
+		lagging, _, c := newLaggingAdministrator(t, leaving)
+		_, err := c.propose(ctx, mustEncode(t, applier.Command{Op: applier.OpForget, Args: applier.Args{RemovedServers: []string{"x"}}}))
+		require.NoError(t, err)
+		require.False(t, lagging.LeavingRecorded(ctx, "x"))
+	})
+	t.Run("a record of a leaving server without contact", func(t *testing.T) {
+		lagging, _, c := newLaggingAdministrator(t, leaving)
+		c.disconnected = true
+		require.False(t, lagging.LeavingRecorded(ctx, "x"))
+	})
+}
--- a/cataloger/control_catalog.go
+++ b/cataloger/control_catalog.go
@@ -41,8 +41,9 @@
 	// HasLeaderContact reports whether this host is the leader or in contact with it. Without contact it refuses reports,
 	// since they would not reach the leader, which would then let the leases of the servers expire.
 	HasLeaderContact func() bool
-	// EndCommitted reports whether the end of a server is committed; CommitEnd commits it for several servers.
-	EndCommitted func(id string) bool
+	// EndCommitted reports whether the end of a server is committed at the time of the call; CommitEnd commits it for several
+	// servers.
+	EndCommitted func(ctx context.Context, id string) bool
 	CommitEnd    func(ctx context.Context, ids []string) error
 	// OnRemoved is called on the leader with the ids of servers that were removed from the catalog.
 	OnRemoved func(ids []string)
@@ -117,7 +118,7 @@
 		c.mergeReport(end)
 	}
 	c.signal()
-	if !r.endsAllStarts() && c.cfg.EndCommitted(r.Server.ID) {
+	if !r.endsAllStarts() && c.cfg.EndCommitted(ctx, r.Server.ID) {
 		return nil
 	}
 	err := c.cfg.CommitEnd(ctx, ids)
--- a/cataloger/control_catalog_test.go
+++ b/cataloger/control_catalog_test.go
@@ -97,7 +97,7 @@
 			defer mu.Unlock()
 			return *leader != ""
 		},
-		EndCommitted: func(id string) bool { return committed[id] },
+		EndCommitted: func(_ context.Context, id string) bool { return committed[id] },
 		CommitEnd: func(_ context.Context, ids []string) error {
 			if ids[0] == "refused" {
 				return errors.New("no quorum")
