Entries that stop take only requests that end before the process

Cause: 0.7 s of the grace period were reserved for closing, and every request that could still be read was taken and passed on, whatever its deadline.

Evidence: "requests aborted at the end of the grace period" at 5.3 s, the end of the work at the servers 0.2 to 0.4 s later.

Change: 60 ms are reserved on entries; control hosts keep 640 ms more to hand over leadership. After half of the grace period an entry refuses at once, as not run and with a Retry-After of zero, each request whose deadline is after its end, and starts no attempt that would usually not end in time. The check is in the forwarder, so it covers first, kept and pipelined requests, uploads, retries and hedges; requests that are taken end by their own deadline.

Tests: TestOrdersAtAnEntryThatStops failed before (200 in place of 503: the late order was taken and ran); TestRequestsWhileTheProcessStops and TestRetryBeforeTheProcessStops test the new setting StopsAt.

--- a/cmd/sycamorevane/join.go
+++ b/cmd/sycamorevane/join.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3"
@@ -18,10 +17,6 @@
 	"sycamorevane.example/sycamorevane/runner"
 )
 
-// shutdownMargin is the part of the grace period that is reserved for closing listeners, sessions and stores after the
-// running requests have ended.
-const shutdownMargin = 700 * time.Millisecond
-
 func joinCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("join", flag.ExitOnError)
 	file := fs.String("boot", "", "settings file of this host (SYCAMOREVANE_BOOT)")
@@ -65,7 +60,7 @@
 			// The settings that may change are reread whenever they are used, since they may also change without a signal.
 			log.Info("settings reloaded", "host", s.Name)
 		case <-ctx.Done():
-			stopCtx, cancel := context.WithTimeout(context.Background(), max(0, s.Bounds.GracePeriod-shutdownMargin))
+			stopCtx, cancel := context.WithTimeout(context.Background(), s.Bounds.GracePeriod)
 			defer cancel()
 			process.Stop(stopCtx)
 			return nil
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -186,6 +186,9 @@
 	if !now.Before(deadline) {
 		return &result{notAttempted: c.newRefusedError("deadline has passed", defaultRetryAfter)}
 	}
+	if c.attemptOutlastsProcess(now, deadline) {
+		return &result{notAttempted: c.newShutdownError()}
+	}
 	var permit Permit
 	if q := c.f.cfg.Quarantine; q != nil && c.fingerprint != 0 {
 		var err error
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -137,7 +137,10 @@
 	if err := c.resolve(); err != nil {
 		return err
 	}
-	return c.setDeadline()
+	if err := c.setDeadline(); err != nil {
+		return err
+	}
+	return c.checkShutdown()
 }
 
 // awaitFirstState waits for the first state while the caller stays connected.
--- a/runner/discovery.go
+++ b/runner/discovery.go
@@ -63,6 +63,12 @@
 }
 
 const (
+	// closingTime is the part of the grace period that is reserved for closing connections after the running requests have
+	// ended.
+	closingTime = 60 * time.Millisecond
+	// handOverTime is the part that a control host needs in addition to hand over leadership and close its store.
+	handOverTime = 640 * time.Millisecond
+
 	// sessionCheckInterval is how often a process checks which sessions to open or end.
 	sessionCheckInterval = 100 * time.Millisecond
 	// connectSpread is the time over which an entry that has reached a control host opens its other sessions. A session
@@ -175,9 +181,16 @@
 	p.metricsServer = p.serveHTTP(l, mux)
 }
 
-// Stop shuts down gracefully. Requests that still run when ctx ends are aborted.
+// Stop shuts down gracefully. The end of ctx is the forced end of the process; requests that still run closingTime before
+// are aborted.
 func (p *DiscoveryProcess) Stop(ctx context.Context) {
 	p.cfg.Log.Info("process stops")
+	reserve := closingTime
+	if p.control != nil {
+		reserve += handOverTime
+	}
+	ctx, cancel := withEarlierEnd(ctx, reserve)
+	defer cancel()
 	if p.entry != nil {
 		p.entry.stop(ctx)
 	}
@@ -194,6 +207,15 @@
 	p.cfg.Log.Info("process stopped")
 }
 
+// withEarlierEnd returns a context that ends the given time before ctx does.
+func withEarlierEnd(ctx context.Context, reserve time.Duration) (context.Context, context.CancelFunc) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, end.Add(-reserve))
+}
+
 // seeds returns the seeds. It reads the settings again, since they may change without a signal.
 func (p *DiscoveryProcess) seeds() []string {
 	s, err := p.cfg.Reload()
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -88,6 +88,8 @@
 	rankedAt     atomic.Int64
 	startedAt    time.Time
 	shuttingDown atomic.Bool
+	// stopsAt is when the remaining requests are aborted; nil while requests of any length are taken.
+	stopsAt atomic.Pointer[time.Time]
 }
 
 func newDiscoveryEntry(p *DiscoveryProcess) (*discoveryEntry, error) {
@@ -120,7 +122,7 @@
 	e.forwarder = forwarder.New(forwarder.Config{
 		Self: p.cfg.Settings.Name, Limiter: e.dispatcher, State: e.subscriber.State, Dialect: p.cfg.Adapter.Dialect(),
 		Observe: e.evidenceCollector.Observe, FirstState: e.subscriber.FirstState(), ResponseGrace: responseGrace,
-		ShuttingDown: e.shuttingDown.Load, DialTimeout: serverDialTimeout,
+		ShuttingDown: e.shuttingDown.Load, StopsAt: e.stopTime, DialTimeout: serverDialTimeout,
 		EntryCount:    func() int { return int(max(1, e.entryCount.Load())) },
 		PaceTransfers: p.cfg.Settings.PaceTransfers,
 		RetryBurst:    e.retryBurst, IsSlow: e.dispatcher.Slow, WaitWhileSlow: e.dispatcher.WaitWhileSlow,
@@ -342,13 +344,24 @@
 	return list
 }
 
+// stopTime returns when the remaining requests are aborted, or zero while requests of any length are taken.
+func (e *discoveryEntry) stopTime() time.Time {
+	if t := e.stopsAt.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
 // stop removes the entry from the directory, keeps serving while callers may use cached responses of the directory, and
-// completes running requests.
+// completes running requests. After that it takes only requests whose deadline is before the end of ctx.
 func (e *discoveryEntry) stop(ctx context.Context) {
 	e.shuttingDown.Store(true)
 	e.subscriber.MarkLeaving()
 	e.sendPresence()
 	sleep(ctx, time.Duration(float64(e.p.cfg.Settings.Bounds.GracePeriod)*shutdownServeRatio))
+	if end, ok := ctx.Deadline(); ok {
+		e.stopsAt.Store(&end)
+	}
 	if err := e.callerServer.Shutdown(ctx); err != nil {
 		e.p.cfg.Log.Info("requests aborted at the end of the grace period", "reason", err.Error())
 		_ = e.callerServer.Close()
