Reports of servers: values that lose their meaning are refused

Reported from a similar system: one odd entry among those of the servers, with a number too large or a port out of range, stopped the hosts that read the list.

Cause here: numbers were checked for their sign only. 4,294,967,297 slots were acknowledged and became one slot on other hosts, a cold time of 9.2e18 ms became negative, a port of 70000 became a server that cannot be dialled, and a sequence of 2^64-1 would have hidden all later reports of a server. No process ended. Deep nesting was refused before.

A report that fails is refused alone.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -72,11 +72,11 @@
 // Revision increases with each change that has to be pushed to other hosts.
 func (c *Catalog) Revision() uint64 { return c.revision }
 
-// Merge adds a report to the catalog. It returns false and changes nothing if the report is not newer than what is
-// known. A newer report always updates ReportedAt, but the revision only if a value changes on which the choice of servers
+// Merge adds a report to the catalog. It returns false and changes nothing if the report is invalid or not newer than what
+// is known. A newer report always updates ReportedAt, but the revision only if a value changes on which the choice of servers
 // depends.
 func (c *Catalog) Merge(r Report, now time.Time) bool {
-	if r.Server.ID == "" {
+	if r.validate() != nil {
 		return false
 	}
 	old, known := c.servers[r.Server.ID]
--- a/cataloger/control_catalog.go
+++ b/cataloger/control_catalog.go
@@ -102,8 +102,11 @@
 }
 
 // Report accepts a report that a server has sent. It returns when the report may be acknowledged; for a server that drains
-// or ends that is after the commit. Errors: *UnavailableError, and those of CommitEnd.
+// or ends that is after the commit. Errors: *InvalidReportError, *UnavailableError, and those of CommitEnd.
 func (c *ControlCatalog) Report(ctx context.Context, r Report) error {
+	if err := r.validate(); err != nil {
+		return err
+	}
 	if !c.cfg.HasLeaderContact() {
 		return &UnavailableError{Reason: "no control leader is known"}
 	}
