--- a/coordinator/prober.go
+++ b/coordinator/prober.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -75,11 +74,9 @@
 	if name := resp.Header.Get(p.instanceHeader); name != "" && name != s.InstanceName {
 		return dispatcher.ProbeResult{Answered: true, AddressReused: true, ColdRemaining: -1}
 	}
-	r := dispatcher.ProbeResult{Answered: true, Load: p.parseLoad(resp.Header), ColdRemaining: -1}
-	if ms, err := strconv.Atoi(resp.Header.Get(p.coldHeader)); err == nil && ms >= 0 {
-		r.ColdRemaining = time.Duration(ms) * time.Millisecond
+	return dispatcher.ProbeResult{
+		Answered: true, Load: p.parseLoad(resp.Header), ColdRemaining: dispatcher.ParseColdRemaining(resp.Header.Get(p.coldHeader)),
 	}
-	return r
 }
 
 func (p *Prober) failed(s *sycamorevane.Server, err error) dispatcher.ProbeResult {
--- a/dispatcher/probe.go
+++ b/dispatcher/probe.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"strconv"
 	"time"
 
 	"sycamorevane.example/sycamorevane"
@@ -40,6 +41,19 @@
 	AddressReused bool
 }
 
+// maxColdRemaining limits the cold time that a server may state, far above any real value.
+const maxColdRemaining = 24 * time.Hour
+
+// ParseColdRemaining parses the milliseconds for which a server states that it stays cold. It returns -1 if the value is
+// missing or out of range.
+func ParseColdRemaining(value string) time.Duration {
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms < 0 || ms > maxColdRemaining.Milliseconds() {
+		return -1
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // DueProbes lists the servers that are due for a background probe: those of this entry's subset in its own data
 // centre, and one outside the subset while requests wait. Only entries that callers are sent to send probes, and only
 // for services with recent requests.
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -58,8 +57,6 @@
 	// discoveryMaxCallerConns limits the connections from callers. Connections to servers need the other file descriptors,
 	// which are few on small hosts.
 	discoveryMaxCallerConns = 2500
-	// maxColdMS limits the time until a server is warm that it may state: one day, far above any real value.
-	maxColdMS = 24 * 60 * 60 * 1000
 	// defaultMaxHeaderBytes limits a request header if the configuration sets no limit.
 	defaultMaxHeaderBytes = 64 << 10
 )
@@ -290,13 +287,10 @@
 		return
 	}
 	d := e.p.cfg.Adapter.Dialect()
-	r := dispatcher.ProbeResult{Answered: true, Load: d.ParseLoad(header), ColdRemaining: -1}
+	r := dispatcher.ProbeResult{Answered: true, Load: d.ParseLoad(header), ColdRemaining: dispatcher.ParseColdRemaining(header.Get(d.ColdRemaining))}
 	if name := header.Get(d.Instance); name != "" && name != target.Server.InstanceName {
 		r.AddressReused, r.Load = true, nil
 	}
-	if ms, err := strconv.Atoi(header.Get(d.ColdRemaining)); err == nil && ms >= 0 && ms <= maxColdMS {
-		r.ColdRemaining = time.Duration(ms) * time.Millisecond
-	}
 	e.dispatcher.HandleProbeResult(time.Now(), target.Server.ID, r)
 }
 
--- a/runner/probe.go
+++ b/runner/probe.go
@@ -13,13 +13,19 @@
 	"sycamorevane.example/sycamorevane"
 )
 
-// maxProbeResponseBytes limits the body of a probe response.
-const maxProbeResponseBytes = 4 << 10
+const (
+	// maxProbeResponseBytes limits the body of a probe response, maxProbeHeaderBytes its header: a faulty server may send
+	// bytes without end.
+	maxProbeResponseBytes = 4 << 10
+	maxProbeHeaderBytes   = 16 << 10
+)
 
 // probeClient opens a new connection for each probe: an idle connection may have broken without notice, which would say
 // nothing about the server.
 var probeClient = &http.Client{
-	Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext},
+	Transport: &http.Transport{
+		DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxResponseHeaderBytes: maxProbeHeaderBytes,
+	},
 }
 
 // probe requests a server's load and succeeds if a well-formed response arrives in time. The reported values are ignored,
