Elections: a rejected vote request does not restart the election timeout

Cause: the host with the full disk grants pre-votes and cannot store votes. A host whose log is one entry too old to win therefore campaigns every 0.25 to 0.55 s, and each of its vote requests restarted the election timeout (1.0 to 1.4 s) of the only host that could win, which rejected it.

Change: adopting a newer term keeps the election timeout, unless this replica led; a granted vote or a leader restarts it, as in the Raft paper. So the host with the newest log campaigns in time, whatever others do.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -473,13 +473,18 @@
 	c.rejectPendingReads()
 	c.role, c.leader = follower, name
 	c.peers, c.votes, c.transferTarget = nil, nil, ""
-	c.electionElapsed = 0
-	c.electionTimeout = electionTimeoutTicks + c.rand.IntN(electionJitterTicks)
+	c.resetElectionTimer()
 	if c.incoming != nil && c.incoming.term != c.hardState.Term {
 		c.incoming = nil
 	}
 }
 
+// resetElectionTimer lets the replica wait a full election timeout before it campaigns.
+func (c *core) resetElectionTimer() {
+	c.electionElapsed = 0
+	c.electionTimeout = electionTimeoutTicks + c.rand.IntN(electionJitterTicks)
+}
+
 // rejectPendingReads completes all pending reads with ok false.
 func (c *core) rejectPendingReads() {
 	for _, r := range c.pendingReads {
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -296,6 +296,7 @@
 	cl := newClusterWith(t, true, "a", "b", "c")
 	done := []string{"x"}
 	cl.mustPropose(cl.awaitLeader(), "x")
+	cl.awaitVoters()
 	for range 3 {
 		n := cl.awaitLeader()
 		n.fs.diskFull.Store(true)
@@ -314,6 +315,20 @@
 	}
 }
 
+// awaitVoters waits until no host recovers its log. A host that has just started has a blank log, as one that has lost its
+// disk, and votes only together with all others until a leader confirms that it has caught up.
+func (cl *cluster) awaitVoters() {
+	cl.t.Helper()
+	require.Eventually(cl.t, func() bool {
+		for _, n := range cl.nodes {
+			if n.currentStatus().recovering {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, time.Millisecond, "hosts that have just started do not vote")
+}
+
 // Guards against a call that never returns on a host that has no majority.
 func TestNoQuorum(t *testing.T) {
 	t.Parallel()
--- a/replicator/step.go
+++ b/replicator/step.go
@@ -73,7 +73,12 @@
 	if c.recovering {
 		c.hardState.VotedFor = recoveringVote
 	}
+	elapsed, timeout, ledItself := c.electionElapsed, c.electionTimeout, c.role == leader
 	c.becomeFollower("")
+	if !ledItself {
+		// A candidate that gets no vote here must not keep this replica from campaigning: its log may be too old to win.
+		c.electionElapsed, c.electionTimeout = elapsed, timeout
+	}
 	return true
 }
 
@@ -154,7 +159,7 @@
 		c.hardState.VotedFor = from
 	}
 	if grant {
-		c.electionElapsed = 0
+		c.resetElectionTimer()
 	}
 	c.send(from, &encoder.Consensus{Kind: encoder.Consensus_VOTE_REPLY, Reject: !grant, Recovering: conditional})
 }
