Elections: candidates wait longer after undecided elections

Callers saw: "no control leader is known" in calm, on real processes only (the users' reports on rule CONFIG).

Cause: a vote counts after a sync on the candidate and one on the voter. A candidate waited 0.25 to 0.55 s and then began another election, for which the voter had to sync again; with syncs of 0.6 s or more no election was ever decided.

Change: the wait doubles with each undecided election in a row, up to 16 times, until a leader is known. It exceeds the time of the syncs after a few attempts, and the first attempts are as fast as before (TestElectionTime, TestOrdersAfterALostLeader).

--- a/replicator/cluster_test.go
+++ b/replicator/cluster_test.go
@@ -119,10 +119,11 @@
 	return fmt.Sprint(l.lines)
 }
 
-// faultFS makes writes fail while diskFull is set.
+// faultFS makes writes fail while diskFull is set, and delays syncs.
 type faultFS struct {
 	persister.OS
-	diskFull atomic.Bool
+	diskFull  atomic.Bool
+	syncDelay atomic.Int64 // in ns
 }
 
 type faultFile struct {
@@ -144,6 +145,11 @@
 	return f.File.Write(b)
 }
 
+func (f *faultFile) Sync() error {
+	time.Sleep(time.Duration(f.fs.syncDelay.Load()))
+	return f.File.Sync()
+}
+
 // cluster is a set of control hosts that run in this process.
 type cluster struct {
 	t               testing.TB
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -30,6 +30,9 @@
 	// within 2 s of the loss of the leader.
 	electionRetryTicks       = 5
 	electionRetryJitterTicks = 6
+	// maxElectionBackoff limits the doublings of the retry delay after undecided elections in a row. A candidate gets its
+	// votes only after it and the voters have written them to disk, which takes longer than the first delays on a slow one.
+	maxElectionBackoff = 4
 	// heartbeatTicks is the interval between heartbeats. Three of them fit into leaderLeaseTicks.
 	heartbeatTicks = 5
 	// chunkResendTicks is the delay before an unacknowledged snapshot chunk is sent again.
@@ -219,6 +222,8 @@
 	electionElapsed  int
 	electionTimeout  int
 	heartbeatElapsed int
+	// undecidedElections counts the elections of this replica since it last knew a leader.
+	undecidedElections int
 	// votes holds the replicas that granted their vote. The value is false for a conditional vote; see votesConditionally.
 	votes map[string]bool
 	peers map[string]*progress
@@ -472,6 +477,9 @@
 func (c *core) becomeFollower(name string) {
 	c.rejectPendingReads()
 	c.role, c.leader = follower, name
+	if name != "" {
+		c.undecidedElections = 0
+	}
 	c.peers, c.votes, c.transferTarget = nil, nil, ""
 	c.resetElectionTimer()
 	if c.incoming != nil && c.incoming.term != c.hardState.Term {
@@ -498,6 +506,10 @@
 	c.becomeFollower("")
 	c.role = newRole
 	c.electionTimeout = electionRetryTicks + c.rand.IntN(electionRetryJitterTicks)
+	if newRole == candidate {
+		c.electionTimeout <<= min(c.undecidedElections, maxElectionBackoff)
+		c.undecidedElections++
+	}
 	c.votes = map[string]bool{c.self: true}
 	m := encoder.Consensus{Kind: encoder.Consensus_PREVOTE, Term: c.hardState.Term + 1}
 	if newRole == candidate {
@@ -530,6 +542,7 @@
 
 func (c *core) becomeLeader() {
 	c.role, c.leader = leader, c.self
+	c.undecidedElections = 0
 	c.heartbeatElapsed, c.confirmationRound = 0, c.confirmationRound+1
 	c.peers = make(map[string]*progress)
 	c.syncPeers()
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -329,6 +329,37 @@
 	}, 10*time.Second, time.Millisecond, "hosts that have just started do not vote")
 }
 
+// Guards against elections that are never decided because a candidate gives up before slow disks have stored the votes.
+func TestSlowDisksElectALeader(t *testing.T) {
+	for _, delay := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			cl := newCluster(t, "a", "b", "c")
+			cl.mustPropose(cl.awaitLeader(), "x")
+			cl.awaitVoters()
+			for _, n := range cl.nodes {
+				n.fs.syncDelay.Store(int64(delay))
+			}
+			old := cl.awaitLeader()
+			old.disconnected.Store(true)
+			require.Eventually(t, func() bool {
+				for _, n := range cl.others(old) {
+					if name, _, _ := n.Leader(); name != "" && name != old.name {
+						return true
+					}
+				}
+				return false
+			}, 15*time.Second, 5*time.Millisecond, "no leader")
+			cl.mustPropose(cl.others(old)[0], "y")
+			for _, n := range cl.nodes {
+				n.fs.syncDelay.Store(0)
+			}
+			old.disconnected.Store(false)
+			cl.requireCommands(old, []string{"x", "y"})
+		})
+	}
+}
+
 // Guards against a call that never returns on a host that has no majority.
 func TestNoQuorum(t *testing.T) {
 	t.Parallel()
