Catalog: texts of a report must be UTF-8

Cause: the id from the path was stored in string fields of messages, which protobuf refuses to encode unless they are UTF-8. Each message with that record failed as a whole, and entries got no catalog.

Change: Merge refuses such reports; the sender gets 400. One record can no longer stop a message.

--- a/cataloger/report.go
+++ b/cataloger/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"time"
+	"unicode/utf8"
 )
 
 const (
@@ -27,8 +28,11 @@
 	for _, f := range []struct{ name, value string }{
 		{"id", s.ID}, {"name", s.InstanceName}, {"service", s.Service}, {"version", s.Version}, {"address", s.Addr}, {"data centre", s.DC},
 	} {
-		if len(f.value) > maxFieldBytes {
+		switch {
+		case len(f.value) > maxFieldBytes:
 			return &InvalidReportError{Field: f.name, Reason: fmt.Sprintf("is above %d bytes", maxFieldBytes)}
+		case !utf8.ValidString(f.value):
+			return &InvalidReportError{Field: f.name, Reason: "is not valid UTF-8"}
 		}
 	}
 	switch {
