Requests: a response without an id on a used connection proves nothing

Cause: the second copy of a rejected health check says "not run" and has no request id; it was accepted for the order that was sent next on the connection, before the missing id was looked at.

Change: on a used connection such a response is dropped if the connection has carried a health check, and leaves the outcome unknown otherwise. Health checks drop responses that have an id.

Tests: TestBelatedSecondAnswerToAProbe and TestBelatedSecondAnswerOnAProbe failed before (503 in place of 200).

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -461,11 +461,19 @@
 	return nil, errProtocol
 }
 
-// isForEarlierRequest reports whether the request ID of the response shows that it belongs to an earlier request on the
-// connection. Some servers send a late second response; it is dropped, since its request has already been answered.
+// isForEarlierRequest reports whether the response belongs to an earlier exchange on the connection: its request ID is that of
+// another request, or it has none and the server has answered a probe, which has none either. Some servers send a late second
+// response; it is dropped, since its request has already been answered.
 func (a *attempt) isForEarlierRequest(resp *http.Response) bool {
-	echo := resp.Header[a.c.f.dialect.RequestID]
-	return a.c.f.dialect.KeepRequestID && a.conn.reused && len(echo) == 1 && echo[0] != a.id
+	d := &a.c.f.dialect
+	if !d.KeepRequestID || !a.conn.reused {
+		return false
+	}
+	echo := resp.Header[d.RequestID]
+	if len(echo) == 0 {
+		return a.conn.probed && resp.Header.Get(d.Proof) == ""
+	}
+	return len(echo) == 1 && echo[0] != a.id
 }
 
 func (a *attempt) checkHeader(resp *http.Response) error {
@@ -486,6 +494,8 @@
 	}
 	a.c.f.reportDirective(&a.grant.Server, resp, a.startedAt)
 	switch {
+	case a.c.f.dialect.KeepRequestID && a.conn.reused && len(echoes) == 0:
+		return errRequestIDMismatch // It may be a late second response, so that it does not say whether this request ran.
 	case a.c.f.dialect.saysNotRun(resp):
 	case a.c.f.dialect.Proof != "" && len(echoes) == 0:
 		return errRequestIDMismatch
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -36,6 +36,8 @@
 	// idleSince is when the last exchange ended successfully, or when the connection was opened.
 	idleSince time.Time
 	reused    bool
+	// probed is set when a probe was sent on the connection.
+	probed bool
 	// serverIdleTimeout is how long the server keeps an idle connection open; 0 when it has not said.
 	serverIdleTimeout time.Duration
 	// progressTimeout limits each read and write of a body. bodyDeadline limits all reads of a response body; nil for no
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -31,13 +31,13 @@
 	}
 	req.Header["User-Agent"] = []string{""}
 	sentAt := time.Now()
-	resp, err := exchangeProbe(conn, req)
+	resp, dropped, err := f.exchangeProbe(conn, req)
 	if err != nil {
 		conn.pool.discard(conn)
 		return 0, nil, err
 	}
 	f.reportDirective(&s, resp, sentAt)
-	if resp.Close || endsWithConnection(resp) {
+	if dropped || resp.Close || endsWithConnection(resp) {
 		conn.pool.discard(conn)
 	} else {
 		conn.serverIdleTimeout = keepAliveTimeout(resp.Header)
@@ -46,23 +46,32 @@
 	return resp.StatusCode, resp.Header, nil
 }
 
-func exchangeProbe(conn *serverConn, req *http.Request) (*http.Response, error) {
+// exchangeProbe sends a probe and reads its response. A probe has no request ID: a response with one is a late second response
+// to an earlier request, which is dropped. dropped reports that there was one.
+func (f *Forwarder) exchangeProbe(conn *serverConn, req *http.Request) (resp *http.Response, dropped bool, err error) {
+	conn.probed = true
 	if err := req.Write(conn.w); err != nil {
-		return nil, errors.Trace(err)
+		return nil, false, errors.Trace(err)
 	}
 	if err := conn.w.Flush(); err != nil {
-		return nil, errors.Trace(err)
+		return nil, false, errors.Trace(err)
 	}
-	resp, err := conn.readResponse(req)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	if resp.StatusCode < http.StatusOK {
-		return nil, errors.New("probe got an informational response")
-	}
-	// The connection is reused only after the complete response.
-	if _, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBodyBytes); err != io.EOF {
-		return nil, errors.New("response to a probe is incomplete or too long")
+	for range maxInformational {
+		resp, err := conn.readResponse(req)
+		if err != nil {
+			return nil, dropped, errors.Trace(err)
+		}
+		if resp.StatusCode < http.StatusOK {
+			return nil, dropped, errors.New("probe got an informational response")
+		}
+		// The connection is reused only after the complete response.
+		if _, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBodyBytes); err != io.EOF {
+			return nil, dropped, errors.New("response to a probe is incomplete or too long")
+		}
+		if !f.dialect.KeepRequestID || !conn.reused || resp.Header.Get(f.dialect.RequestID) == "" {
+			return resp, dropped, nil
+		}
+		dropped = true
 	}
-	return resp, nil
+	return nil, dropped, errors.New("probe got only responses to earlier requests")
 }
--- a/forwarder/rules_test.go
+++ b/forwarder/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -228,6 +229,95 @@
 	}
 }
 
+// Guards against a late second response to a rejected probe, which has no request ID: taken for the response to a request that
+// must not run twice, it made the entry send the request to a second server.
+func TestBelatedSecondAnswerToAProbe(t *testing.T) {
+	const rejection = "HTTP/1.1 503 Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+	cases := []struct {
+		name string
+		// late is sent in place of the response to the request after the probe; ID stands for that request.
+		late       string
+		wantStatus int
+		wantBody   string
+	}{
+		{"the rejection again", rejection, http.StatusOK, "ok"},
+		{"an answer of a probe", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", http.StatusOK, "ok"},
+		{"the rejection of the request itself", strings.Replace(rejection, "X-Rejected", "X-Request-Id: ID\r\nX-Rejected", 1), http.StatusServiceUnavailable, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var ran atomic.Int32
+			_, server := newScriptedServer(t, func(s *scriptedServer, _ int, conn net.Conn) {
+				r := bufio.NewReader(conn)
+				for afterProbe := false; ; {
+					req, ok := s.readRequest(r)
+					if !ok {
+						return
+					}
+					if req.URL.Path == "/health" {
+						_, _ = io.WriteString(conn, rejection)
+						afterProbe = true
+						continue
+					}
+					id := req.Header.Get("X-Request-Id")
+					if afterProbe {
+						_, _ = io.WriteString(conn, strings.ReplaceAll(c.late, "ID", id))
+						afterProbe = false
+					}
+					ran.Add(1)
+					_, _ = io.WriteString(conn, strings.ReplaceAll(provenResponse, "ID", id))
+				}
+			})
+			r := newTestRig(t, withRules(), server)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			status, _, err := r.f.Probe(ctx, server, "/health")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, status)
+			resp, body, err := r.do("POST", "/set/x", "", "X-Request-Id", "q")
+			require.NoError(t, err)
+			require.Equal(t, c.wantStatus, resp.StatusCode)
+			if c.wantBody != "" {
+				require.Equal(t, c.wantBody, body)
+				require.Equal(t, int32(1), ran.Load())
+			}
+		})
+	}
+}
+
+// Guards against a probe that takes a late second response to a request for its own: its true response would then be taken for
+// that of the next request.
+func TestBelatedSecondAnswerOnAProbe(t *testing.T) {
+	_, server := newScriptedServer(t, func(s *scriptedServer, _ int, conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for previousID := ""; ; {
+			req, ok := s.readRequest(r)
+			if !ok {
+				return
+			}
+			if req.URL.Path == "/health" {
+				_, _ = io.WriteString(conn, strings.ReplaceAll(provenResponse, "ID", previousID))
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n")
+				continue
+			}
+			previousID = req.Header.Get("X-Request-Id")
+			_, _ = io.WriteString(conn, strings.ReplaceAll(provenResponse, "ID", previousID))
+		}
+	})
+	r := newTestRig(t, withRules(), server)
+	for _, id := range []string{"q1", "q2"} {
+		resp, body, err := r.do("POST", "/set/x", "", "X-Request-Id", id)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.Equal(t, "ok", body)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		status, _, err := r.f.Probe(ctx, server, "/health")
+		cancel()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, status)
+	}
+}
+
 // Guards against refusals by an entry that has just started and is about to receive its first state.
 func TestRequestWaitsForTheFirstConfiguration(t *testing.T) {
 	_, server := newScriptedServer(t, respondOnce(provenResponse, 0))
