Catalog: a server of an unknown service takes no address

Cause: a server that is new at an address ends the one that was there, whatever its service, and an end is never taken back.

Change: reports for services that the configuration does not name are kept aside, limited in number and time, and merged when it names them.

--- a/cataloger/control_catalog.go
+++ b/cataloger/control_catalog.go
@@ -41,6 +41,9 @@
 	// HasLeaderContact reports whether this host is the leader or in contact with it. Without contact it refuses reports,
 	// since they would not reach the leader, which would then let the leases of the servers expire.
 	HasLeaderContact func() bool
+	// NamesService reports whether the configuration that this host has applied names the service. Nil means that every
+	// service is named.
+	NamesService func(service string) bool
 	// EndCommitted reports whether the end of a server is committed at the time of the call; CommitEnd commits it for several
 	// servers.
 	EndCommitted func(ctx context.Context, id string) bool
@@ -71,6 +74,8 @@
 	catalog *Catalog
 	// pending holds the reports to send to the other control hosts, by server id.
 	pending map[string]Report
+	// parked holds the latest report of each server whose service the configuration does not name, by server id.
+	parked map[string]parkedReport
 	// pushedRevision is the catalog revision up to which changes were pushed to the entries.
 	pushedRevision uint64
 	// savedRevision is the catalog revision that was last written to the file.
@@ -79,7 +84,7 @@
 
 // NewControlCatalog returns a ControlCatalog and registers its message handlers.
 func NewControlCatalog(cfg ControlCatalogConfig) *ControlCatalog {
-	c := &ControlCatalog{cfg: cfg, catalog: NewCatalog(), pending: make(map[string]Report), wake: make(chan struct{}, 1)}
+	c := &ControlCatalog{cfg: cfg, catalog: NewCatalog(), pending: make(map[string]Report), parked: make(map[string]parkedReport), wake: make(chan struct{}, 1)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	cfg.Transport.Handle(&encoder.Heartbeats{}, c.onHeartbeats)
 	cfg.Transport.Handle(&encoder.CatalogAsk{}, c.onAsk)
@@ -156,6 +161,15 @@
 func (c *ControlCatalog) mergeReport(r Report) {
 	id := r.Server.ID
 	c.mu.Lock()
+	if !c.namesService(&r) {
+		_, known := c.parked[id]
+		kept := c.park(r, time.Now())
+		c.mu.Unlock()
+		if !known {
+			c.cfg.Log.Info("server of an unknown service reported first", "server", id, "service", r.Server.Service, "addr", r.Server.Addr, "kept", kept)
+		}
+		return
+	}
 	old, known := c.catalog.Get(id)
 	if known && r.Server.Addr == "" {
 		r = completeReport(old, r)
@@ -252,11 +266,14 @@
 	}
 }
 
+// lease is the time without a report after which a server gets no more requests.
+func (c *ControlCatalog) lease() time.Duration { return leaseReports*c.cfg.ReportInterval + leaseSlack }
+
 func (c *ControlCatalog) sweep(now time.Time) {
 	hasContact := c.cfg.HasLeaderContact()
 	c.mu.Lock()
 	if hasContact {
-		c.catalog.ExpireLeases(now, leaseReports*c.cfg.ReportInterval+leaseSlack)
+		c.catalog.ExpireLeases(now, c.lease())
 	}
 	removed := c.catalog.RemoveUnreported(now, recordRetention)
 	c.mu.Unlock()
@@ -269,6 +286,7 @@
 func (c *ControlCatalog) flush(now time.Time) {
 	hasContact := c.cfg.HasLeaderContact()
 	c.mu.Lock()
+	c.mergeParked(now)
 	var reports []Report
 	for id, r := range c.pending {
 		reports = append(reports, r)
--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -100,7 +100,7 @@
 	c.catalog = cataloger.NewControlCatalog(cataloger.ControlCatalogConfig{
 		Transport: p.mesh, Epoch: p.mesh.Incarnation(), ControlHosts: c.otherMembers, FollowingEntries: c.catalogFollowers,
 		IsLeader:         func() bool { self, _ := c.isLeader(); return self },
-		HasLeaderContact: c.acceptsReports,
+		HasLeaderContact: c.acceptsReports, NamesService: c.namesService,
 		EndCommitted:     c.administrator.LeavingRecorded, CommitEnd: c.administrator.RecordLeaving, OnRemoved: c.forgetServers, ReportInterval: s.Bounds.HeartbeatInterval,
 		File: cataloger.File{Path: filepath.Join(s.Control.DataDir, "catalog")}, Log: p.cfg.Log,
 	})
@@ -230,6 +230,10 @@
 	}
 }
 
+func (c *discoveryControl) namesService(service string) bool {
+	return c.stateMachine.State().Config.Service(service) != nil
+}
+
 func (c *discoveryControl) endCommitted(id string) bool {
 	_, ok := c.stateMachine.State().DrainedServers[id]
 	return ok
