Control log: elections are logged with what decides them

Change: "election started" with term, last index and the undecided elections before it; the votes of a new leader; the time since the last reply of each member when a leader gives up.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -112,6 +112,17 @@
 	lostLogPeers []string
 	// departures lists the removals that this leader has started because a member no longer replies.
 	departures []departure
+	// campaigns lists the elections that this replica has started. silences is set when this replica has given up
+	// leadership because no majority replied: the ticks since the last reply of each member.
+	campaigns []campaignRecord
+	silences  map[string]int
+}
+
+// campaignRecord describes an election for the log.
+type campaignRecord struct {
+	term, lastIndex uint64
+	// undecided is the number of elections before it since a leader was known.
+	undecided int
 }
 
 // departure is the removal of a member that no longer replies.
@@ -239,6 +250,8 @@
 	readResults        []readResult
 	lostLogPeers       []string
 	departures         []departure
+	campaigns          []campaignRecord
+	silences           map[string]int
 	// transferTarget is the voter to which leadership is being transferred; empty for none.
 	transferTarget string
 }
@@ -345,8 +358,8 @@
 
 // takeEffects returns and clears the pending effects. It returns committed entries only after the store holds them.
 func (c *core) takeEffects() effects {
-	e := effects{messages: c.messages, readResults: c.readResults, lostLogPeers: c.lostLogPeers, departures: c.departures}
-	c.messages, c.readResults, c.lostLogPeers, c.departures = nil, nil, nil, nil
+	e := effects{messages: c.messages, readResults: c.readResults, lostLogPeers: c.lostLogPeers, departures: c.departures, campaigns: c.campaigns, silences: c.silences}
+	c.messages, c.readResults, c.lostLogPeers, c.departures, c.campaigns, c.silences = nil, nil, nil, nil, nil, nil
 	if c.failed {
 		c.messagesAfterWrite = nil
 		return e
@@ -439,6 +452,10 @@
 		if noneResponded := c.allVoters(func(n string) bool { return n == c.self || !respondedRecently(n) }); noneResponded {
 			c.transferWithoutContact()
 		}
+		c.silences = make(map[string]int, len(c.peers))
+		for name, p := range c.peers {
+			c.silences[name] = p.ticksSinceReply
+		}
 		c.becomeFollower("")
 		return
 	}
@@ -514,6 +531,7 @@
 	m := encoder.Consensus{Kind: encoder.Consensus_PREVOTE, Term: c.hardState.Term + 1}
 	if newRole == candidate {
 		c.hardState = sycamorevane.HardState{Term: c.hardState.Term + 1, VotedFor: c.self}
+		c.campaigns = append(c.campaigns, campaignRecord{c.hardState.Term, c.log.lastIndex(), c.undecidedElections - 1})
 		m = encoder.Consensus{Kind: encoder.Consensus_VOTE, Term: c.hardState.Term, Force: force}
 	}
 	for _, r := range c.log.members() {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -385,6 +386,7 @@
 		for _, name := range e.lostLogPeers {
 			r.cfg.Log.Info("member returned without its log; it votes again once it has caught up", "peer", name)
 		}
+		r.logElections(&e)
 		for _, d := range e.departures {
 			r.cfg.Log.Info("silent control host is removed from the group", "peer", d.name, "successor", d.successor,
 				"silent", (time.Duration(d.silentTicks) * TickInterval).String(), "responsive_voters", d.responsive)
@@ -408,6 +410,20 @@
 	}
 }
 
+// logElections logs why the leader changes.
+func (r *Replicator) logElections(e *effects) {
+	for _, c := range e.campaigns {
+		r.cfg.Log.Info("election started", "term", c.term, "last_index", c.lastIndex, "undecided", c.undecided)
+	}
+	if e.silences != nil {
+		ages := make(map[string]string, len(e.silences))
+		for name, ticks := range e.silences {
+			ages[name] = (time.Duration(ticks) * TickInterval).String()
+		}
+		r.cfg.Log.Info("leadership given up, no majority replies", "since_last_reply", ages)
+	}
+}
+
 func (r *Replicator) persist(w storeWrite) {
 	start := time.Now()
 	err := writeToStore(r.cfg.Store, w)
@@ -581,7 +597,11 @@
 // reportChanges logs status changes, updates the metrics and sends a new applied index to the channel of AppliedUpdates.
 func (r *Replicator) reportChanges(old, s status) {
 	if old.leader != s.leader {
-		r.cfg.Log.Info("control leader changed", "leader", s.leader, "term", s.term, "role", r.core.role.String())
+		fields := []any{"leader", s.leader, "term", s.term, "role", r.core.role.String()}
+		if s.isLeader {
+			fields = append(fields, "votes", slices.Sorted(maps.Keys(r.core.votes)))
+		}
+		r.cfg.Log.Info("control leader changed", fields...)
 	}
 	if !slices.Equal(old.members, s.members) {
 		r.cfg.Log.Info("control membership changed", "members", fmt.Sprintf("%+v", s.members))
