--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -101,7 +101,7 @@
 		Transport: p.mesh, Epoch: p.mesh.Incarnation(), ControlHosts: c.otherMembers, FollowingEntries: c.catalogFollowers,
 		IsLeader:         func() bool { self, _ := c.isLeader(); return self },
 		HasLeaderContact: c.acceptsReports, NamesService: c.namesService,
-		EndCommitted:     c.administrator.LeavingRecorded, CommitEnd: c.administrator.RecordLeaving, OnRemoved: c.forgetServers, ReportInterval: s.Bounds.HeartbeatInterval,
+		EndCommitted: c.administrator.LeavingRecorded, CommitEnd: c.administrator.RecordLeaving, OnRemoved: c.forgetServers, ReportInterval: s.Bounds.HeartbeatInterval,
 		File: cataloger.File{Path: filepath.Join(s.Control.DataDir, "catalog")}, Log: p.cfg.Log,
 	})
 	c.publisher = publisher.New(publisher.Config{
