Messenger: a test waits for both sides of a session

The accepting side sends its greeting and then adds the session, so that the dialling side may hear of it first.

Change: the test expects both sides to hear from each other within the limit that held for one of them, and then the reply. The product is as it was: a call without a session fails at once.

--- a/messenger/silent_test.go
+++ b/messenger/silent_test.go
@@ -149,7 +149,9 @@
 	r.refuse()
 	time.Sleep(1500 * time.Millisecond)
 	r.open()
-	expectHeardAfter(t, a, time.Now(), 300*time.Millisecond)
+	openedAt := time.Now()
+	expectHeardAfter(t, a, openedAt, 300*time.Millisecond)
+	expectHeardAfter(t, b, openedAt, 300*time.Millisecond) // The accepting side adds the session after its greeting.
 	expectReply(t, b, "a")
 }
 
