--- a/replicator/removal_test.go
+++ b/replicator/removal_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// join adds a running host that no membership or no leader is known to through a leader that it can reach.
+// join lets a host that is not a member, or knows no leader, ask each leader that it can reach to add it.
 func (s *sim) join(h *host) {
 	if _, isMember := h.core.findMember(h.name); isMember && h.core.leader != "" {
 		return
@@ -130,9 +130,9 @@
 // Guards against hosts that stay voters because several became silent at the same time, without a host in their place.
 func TestSeveralSilentVotersAreRemoved(t *testing.T) {
 	cases := []struct {
-		name               string
-		hosts, lost, minOf int
-		want               int
+		name                   string
+		hosts, lost, minVoters int
+		want                   int
 	}{
 		{"two of seven", 7, 2, 3, 5},
 		{"two of five", 5, 2, 3, 3},
@@ -141,7 +141,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			policy := removalPolicy{silentTicks: testRemoval.silentTicks, minVoters: c.minOf}
+			policy := removalPolicy{silentTicks: testRemoval.silentTicks, minVoters: c.minVoters}
 			s := newSim(c.hosts, 1, faultProbabilities{}, disabledRules{})
 			h, _ := s.awaitLeader(t)
 			s.runJoining(time.Second, policy)
