Logs: the fingerprint of a request that failed

'request failed' and 'server gave no proper answer' carry the fingerprint. It now covers the host, workspace, method, path with query, length and prefix of the body, so that it does not depend on the service that a weighted destination selects, and every request has one. The digest of a claim stays as it was, since claims outlive an entry of an earlier version.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -664,7 +664,7 @@
 func (a *attempt) logMalformed(err error) {
 	a.c.f.metrics.malformed.Inc(1)
 	a.c.f.sampler.Info(time.Now(), "server gave no proper answer", "server", a.grant.Server.ID, "request", a.id,
-		"reason", err.Error(), "sent", a.conn.bytesSent.Load())
+		"fingerprint", sycamorevane.FormatFingerprint(a.c.fingerprint), "reason", err.Error(), "sent", a.conn.bytesSent.Load())
 }
 
 func isTimeout(err error) bool {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -78,10 +79,12 @@
 	callerDeadline time.Time
 	header         http.Header
 	upload         *upload
-	// fingerprint is zero until the prefix of the body has been read.
+	// fingerprint is zero until the request may be sent to a server; see computeFingerprint.
 	fingerprint uint64
-	claim       *sycamorevane.Claim
-	memory      callMemory
+	// digest identifies the content of a request with an idempotency key.
+	digest uint64
+	claim  *sycamorevane.Claim
+	memory callMemory
 
 	attempts        int
 	excludedServers []string
@@ -335,7 +338,7 @@
 
 func (c *call) readPrefix() error {
 	if c.r.Body == nil || c.r.Body == http.NoBody || c.r.ContentLength == 0 {
-		c.fingerprint = c.computeFingerprint(nil)
+		c.identify(nil)
 		return nil
 	}
 	_ = c.rc.EnableFullDuplex()
@@ -349,12 +352,18 @@
 	if err := c.upload.sourceErr(); err != nil {
 		return c.uploadError(err)
 	}
-	if prefix := c.upload.prefix(); prefix != nil {
-		c.fingerprint = c.computeFingerprint(prefix)
-	}
+	c.identify(c.upload.prefix())
 	return nil
 }
 
+// identify computes the fingerprint and, for a request with an idempotency key, the digest.
+func (c *call) identify(prefix []byte) {
+	c.fingerprint = c.computeFingerprint(prefix)
+	if c.key != "" {
+		c.digest = hashRequest(prefix, c.svc.Name, c.r.Method, c.r.URL.RequestURI())
+	}
+}
+
 // uploadError returns the error response for a request body that could not be read.
 func (c *call) uploadError(err error) error {
 	switch {
@@ -366,12 +375,23 @@
 	return &statusError{http.StatusBadRequest, "body ended early"}
 }
 
-// computeFingerprint identifies the request for claims and quarantine. It hashes the service, the method, the path with
-// its query and the prefix of the body.
+// computeFingerprint identifies all copies of a request, whichever entry, service or server handles them. It leaves out
+// what differs between copies: request IDs, deadlines and keys. The prefix of a body of unknown length counts only if it
+// is complete when the request is sent: otherwise it would depend on the timing.
 func (c *call) computeFingerprint(prefix []byte) uint64 {
+	host := c.r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	length := strconv.FormatInt(c.r.ContentLength, 10)
+	return hashRequest(prefix, strings.ToLower(host), c.workspace, c.r.Method, c.r.URL.RequestURI(), length)
+}
+
+// hashRequest returns a hash of the fields and the prefix of the body. It is never zero.
+func hashRequest(prefix []byte, fields ...string) uint64 {
 	var h xxhash.Digest
 	h.Reset()
-	for _, field := range []string{c.svc.Name, c.r.Method, c.r.URL.RequestURI()} {
+	for _, field := range fields {
 		var size [8]byte
 		binary.LittleEndian.PutUint64(size[:], uint64(len(field)))
 		_, _ = h.Write(size[:])
@@ -390,7 +410,7 @@
 		return false, c.newRefusedError("idempotency keys are not served", defaultRetryAfter)
 	}
 	claim := sycamorevane.Claim{
-		Workspace: c.workspace, Service: c.svc.Name, Key: c.key, Digest: c.fingerprint, Token: rand.Uint64() | 1,
+		Workspace: c.workspace, Service: c.svc.Name, Key: c.key, Digest: c.digest, Token: rand.Uint64() | 1,
 	}
 	res, err := c.f.cfg.Dedup.Claim(c.r.Context(), claim)
 	if err != nil {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -95,6 +95,9 @@
 		"ms", now.Sub(c.startedAt).Milliseconds(), "left", c.deadline.Sub(now).Milliseconds(), "after", retryAfter.Milliseconds(),
 		"version", c.stateVersion(),
 	}
+	if c.fingerprint != 0 {
+		pairs = append(pairs, "fingerprint", sycamorevane.FormatFingerprint(c.fingerprint))
+	}
 	if c.scheduler != "" {
 		pairs = append(pairs, "scheduler", c.scheduler)
 	}
--- a/values.go
+++ b/values.go
@@ -5,9 +5,21 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 )
 
+// FormatFingerprint returns the text form of a request's fingerprint in logs, commands and states: 16 hexadecimal digits.
+func FormatFingerprint(fingerprint uint64) string {
+	text := strconv.FormatUint(fingerprint, 16)
+	return fingerprintZeros[len(text):] + text
+}
+
+const fingerprintZeros = "0000000000000000"
+
+// ParseFingerprint reverses FormatFingerprint. Errors are those of strconv.
+func ParseFingerprint(text string) (uint64, error) { return strconv.ParseUint(text, 16, 64) }
+
 // Set is an unordered set of small values.
 type Set[T cmp.Ordered] map[T]struct{}
 
--- a/values_test.go
+++ b/values_test.go
@@ -72,3 +72,16 @@
 	require.Nil(t, (&State{}).VersionShares("s"))
 	require.Equal(t, map[string]float64{"1": 1}, (&State{ServingVersions: map[string]string{"s": "1"}}).VersionShares("s"))
 }
+
+// Guards against a fingerprint that reads differently on another host.
+func TestFingerprintText(t *testing.T) {
+	for _, fingerprint := range []uint64{1, 0xabc, 1 << 63} {
+		text := FormatFingerprint(fingerprint)
+		require.Len(t, text, 16)
+		parsed, err := ParseFingerprint(text)
+		require.NoError(t, err)
+		require.Equal(t, fingerprint, parsed)
+	}
+	_, err := ParseFingerprint("request")
+	require.Error(t, err)
+}
