Quarantine requests that crash servers in deployments with discovery

Change: an entry reports each death with the requests that were running on the server to the control leader (Collector), and again to each new leader. A request with two deaths is committed to the log and reaches all entries with the state, so that restarts and entries that join know it. A response to it ends the quarantine at once, 10 minutes end it in any case. Without a leader an entry goes by its own deaths. Only a refused connection or another start at the address shows a death; an announced end is none. explain follows the fingerprint of a refused request to the deaths.

--- a/applier/command.go
+++ b/applier/command.go
@@ -40,6 +40,8 @@
 	OpLeave = "leave"
 	// OpServe records the version that handles a service's requests outside of rollouts; operators cannot send it.
 	OpServe = "serve"
+	// OpQuarantine changes which requests are quarantined because they crash servers; operators cannot send it.
+	OpQuarantine = "quarantine"
 	// OpUsage records the counts of usage windows and the delivery of their reports; operators cannot send it.
 	OpUsage = "usage"
 )
@@ -95,6 +97,11 @@
 	MinEvidenceTime int64 `json:"shortest,omitempty"`
 
 	Usage *UsageChange `json:"usage,omitempty"`
+
+	// Quarantined and Released list requests, by sycamorevane.FormatFingerprint, that are quarantined from now on and no
+	// longer.
+	Quarantined []string `json:"quarantined,omitempty"`
+	Released    []string `json:"released,omitempty"`
 }
 
 // Capacity is the number of slots of one service in one data centre, drained or not.
@@ -218,5 +225,5 @@
 }
 
 func isInternalOp(op string) bool {
-	return op == OpStep || op == OpForget || op == OpServe || op == OpLeave || op == OpUsage
+	return op == OpStep || op == OpForget || op == OpServe || op == OpLeave || op == OpUsage || op == OpQuarantine
 }
--- a/applier/machine.go
+++ b/applier/machine.go
@@ -49,6 +49,7 @@
 		UndrainedDCs:    map[string]int64{},
 		Rollouts:        map[string]sycamorevane.Rollout{},
 		ServingVersions: map[string]string{},
+		Quarantined:     map[string]int64{},
 	}
 }
 
@@ -149,7 +150,7 @@
 		return decided.result == ResultApplied && c.Args.Step.Phase != c.Args.Step.FromPhase
 	case OpForget, OpLeave, OpUsage:
 		return false
-	case OpServe:
+	case OpServe, OpQuarantine:
 		return decided.result == ResultApplied
 	}
 	return true
--- a/applier/ops.go
+++ b/applier/ops.go
@@ -71,6 +71,8 @@
 		return leave(s, c)
 	case OpUsage:
 		return m.recordUsage(c)
+	case OpQuarantine:
+		return quarantine(s, c)
 	}
 	return refuse("unknown op %q", c.Op)
 }
@@ -457,6 +459,8 @@
 		add("dcs", fmt.Sprint(len(cfg.DCs)))
 		add("hosts", fmt.Sprint(len(cfg.Hosts)))
 	}
+	add("quarantined", strings.Join(a.Quarantined, ","))
+	add("released", strings.Join(a.Released, ","))
 	if a.Step != nil {
 		add("phase", string(a.Step.Phase))
 		add("reason", a.Step.Reason)
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -1,4 +1,5 @@
-// Package explainer finds the log lines of one request in the logs of several processes and sorts them by time.
+// Package explainer finds the log lines of one request in the logs of several processes and sorts them by time. If the lines
+// have the fingerprint of the request, it adds the lines about deaths of servers and quarantines that name the same one.
 package explainer
 
 import (
@@ -30,6 +31,8 @@
 // Report lists the log lines of a request.
 type Report struct {
 	Lines []Line
+	// related holds the lines about requests with a fingerprint, by fingerprint.
+	related map[string][]Line
 	// LinesRead is the number of lines in the logs, Unreadable the number of those without a valid JSON object.
 	LinesRead, Unreadable int
 }
@@ -37,7 +40,7 @@
 // Find returns the lines of the request in the logs, sorted by time. A line may have a prefix before its JSON object, such
 // as one that a log collector adds. Errors are those of reading the logs.
 func Find(request string, logs ...io.Reader) (*Report, error) {
-	r := &Report{}
+	r := &Report{related: make(map[string][]Line)}
 	for _, log := range logs {
 		s := bufio.NewScanner(log)
 		s.Buffer(nil, maxLineBytes)
@@ -48,6 +51,7 @@
 			return nil, errors.Annotatef(err, "after line %d", r.LinesRead)
 		}
 	}
+	r.addRelated()
 	slices.SortStableFunc(r.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return r, nil
 }
@@ -61,8 +65,61 @@
 		return
 	}
 	if fields["request"] != request {
+		r.keepRelated(fields)
 		return
 	}
+	r.Lines = append(r.Lines, newLine(fields))
+}
+
+// fingerprintKeys are the keys whose values are the fingerprints of requests that a line is about.
+var fingerprintKeys = []string{"fingerprint", "fingerprints", "quarantined", "released"}
+
+// keepRelated keeps a line that is not about one request but names fingerprints.
+func (r *Report) keepRelated(fields map[string]any) {
+	if _, ok := fields["request"]; ok {
+		return
+	}
+	var line *Line
+	for _, key := range fingerprintKeys {
+		for _, fingerprint := range texts(fields[key]) {
+			if line == nil {
+				l := newLine(maps.Clone(fields))
+				line = &l
+			}
+			r.related[fingerprint] = append(r.related[fingerprint], *line)
+		}
+	}
+}
+
+// texts returns the strings in a value of a log line.
+func texts(v any) []string {
+	switch v := v.(type) {
+	case string:
+		return []string{v}
+	case []any:
+		var list []string
+		for _, item := range v {
+			list = append(list, texts(item)...)
+		}
+		return list
+	}
+	return nil
+}
+
+// addRelated adds the related lines for the fingerprints of the request.
+func (r *Report) addRelated() {
+	fingerprints := make(map[string]bool)
+	for _, l := range r.Lines {
+		for _, fingerprint := range texts(l.Fields["fingerprint"]) {
+			fingerprints[fingerprint] = true
+		}
+	}
+	for fingerprint := range fingerprints {
+		r.Lines = append(r.Lines, r.related[fingerprint]...)
+	}
+}
+
+func newLine(fields map[string]any) Line {
 	l := Line{Fields: fields}
 	l.Host, _ = fields["host"].(string)
 	l.Text, _ = fields["msg"].(string)
@@ -71,7 +128,7 @@
 	for _, key := range []string{"time", "host", "msg", "level", "request"} {
 		delete(fields, key)
 	}
-	r.Lines = append(r.Lines, l)
+	return l
 }
 
 // Print writes the report as text.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -694,7 +694,10 @@
 	c.f.cfg.Limiter.Release(a.grant, o)
 	c.f.cfg.Observe(c.svc.Name, a.grant.Server.Version, c.route.Name, o)
 	if a.permit != nil {
-		a.permit.End(a.grant.Server, kind)
+		if a.permit.End(a.grant.Server, kind) {
+			c.f.sampler.Info(time.Now(), "server died while it ran the request", "request", a.id, "server", a.grant.Server.ID,
+				"fingerprint", sycamorevane.FormatFingerprint(c.fingerprint))
+		}
 		a.permit.Done()
 	}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,9 +40,9 @@
 	// Start is called before the first byte is sent. It returns false when this request must not be sent to the server now.
 	// When it returns true, End must be called once.
 	Start(server sycamorevane.Server) bool
-	// End reports how the attempt ended. If the server has died, it returns only after the other entries have been
-	// informed.
-	End(server sycamorevane.Server, kind sycamorevane.OutcomeKind)
+	// End reports how the attempt ended, and returns whether the server has died. If it has, End returns only after those who
+	// decide on a quarantine have been informed, or a short time without an answer from them.
+	End(server sycamorevane.Server, kind sycamorevane.OutcomeKind) (died bool)
 	// Done releases the permit; it must be called exactly once.
 	Done()
 }
--- a/publisher/change.go
+++ b/publisher/change.go
@@ -26,6 +26,7 @@
 	UndrainedDCs    *changedValue[map[string]int64] `json:"Returned"`
 	Rollouts        *changedValue[map[string]sycamorevane.Rollout]
 	ServingVersions *changedValue[map[string]string] `json:"Serving"`
+	Quarantined     *changedValue[map[string]int64]
 	// UpdatedDrainedServers holds the servers that are new in State.DrainedServers or have another time there.
 	UpdatedDrainedServers map[string]int64 `json:"Left"`
 	// RemovedDrainedServers lists the servers that are no longer in State.DrainedServers.
@@ -57,6 +58,9 @@
 	if !maps.Equal(from.ServingVersions, to.ServingVersions) {
 		c.ServingVersions = &changedValue[map[string]string]{to.ServingVersions}
 	}
+	if !maps.Equal(from.Quarantined, to.Quarantined) {
+		c.Quarantined = &changedValue[map[string]int64]{to.Quarantined}
+	}
 	for id, at := range to.DrainedServers {
 		if previous, ok := from.DrainedServers[id]; !ok || previous != at {
 			c.UpdatedDrainedServers[id] = at
@@ -98,6 +102,9 @@
 	if c.ServingVersions != nil {
 		next.ServingVersions = c.ServingVersions.Value
 	}
+	if c.Quarantined != nil {
+		next.Quarantined = c.Quarantined.Value
+	}
 	if len(c.UpdatedDrainedServers) == 0 && len(c.RemovedDrainedServers) == 0 {
 		return &next
 	}
--- a/publisher/golden_test.go
+++ b/publisher/golden_test.go
@@ -40,6 +40,6 @@
 	require.Equal(t, &sycamorevane.State{
 		Version: c.Version, Config: c.Config.Value, DrainedDCs: c.DrainedDCs.Value,
 		DrainedServers: c.UpdatedDrainedServers, UndrainedDCs: c.UndrainedDCs.Value,
-		Rollouts: c.Rollouts.Value, ServingVersions: c.ServingVersions.Value,
+		Rollouts: c.Rollouts.Value, ServingVersions: c.ServingVersions.Value, Quarantined: c.Quarantined.Value,
 	}, to)
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,7 +1,11 @@
 // Package quarantiner finds requests that crash backend servers and refuses them. It records which requests were
-// running on a server when it died and reports them to the other entries. A request with one such death is a suspect:
-// it runs on one server at a time, and no two suspects run on the same server. A request with two deaths that no other
-// request explains is quarantined, which means that it is refused. Requests are identified by a fingerprint.
+// running on a server when it died and reports them. A request with one such death is a suspect: it runs on one server at
+// a time, and no two suspects run on the same server. A request with two deaths that no other request explains is
+// quarantined, which means that it is refused. Requests are identified by a fingerprint.
+//
+// Where the configuration lists the entries, they report deaths to each other and agree on where a suspect runs. In a
+// deployment with discovery they exchange no messages: they report to the control leader (Collector), which commits the
+// quarantined requests to the replicated log, and each entry by itself keeps the copies of a suspect apart.
 package quarantiner
 
 import (
@@ -9,9 +13,11 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
@@ -39,14 +45,22 @@
 	lockWaitTimeout   = 500 * time.Millisecond
 	// suspectRetryAfter is the Retry-After of a refusal because the request is a suspect that runs elsewhere.
 	suspectRetryAfter = time.Second
+	// minRetryAfter is the shortest Retry-After of a refusal because of a quarantine, which may end later than this entry
+	// expects.
+	minRetryAfter = time.Second
 )
 
 // Config holds the dependencies and settings of a Quarantiner.
 type Config struct {
 	Self      string
 	Transport sycamorevane.Transport
-	// EntryHosts returns the configured entry hosts. It must not modify a slice that it has returned.
+	// EntryHosts returns the configured entry hosts. It must not modify a slice that it has returned. It is nil if the entry
+	// reports to the control leader.
 	EntryHosts func() []string
+	// Leader returns the name of the control leader, or "" when none is known. It is used without EntryHosts.
+	Leader func() string
+	// IsLeaving reports whether a server has announced that it stops, so that its end is not a death. May be nil.
+	IsLeaving func(server sycamorevane.Server) bool
 	// Retention is how long a death counts against requests; 0 means DefaultRetention.
 	Retention time.Duration
 	Log       logr.Logger
@@ -60,16 +74,23 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	// isDead reports whether nothing listens at an address.
+	// isDead reports whether an address refuses connections.
 	isDead func(addr string) bool
 	// lockWait is how long Admit keeps trying to get the lock of a suspect that runs elsewhere.
 	lockWait time.Duration
 
+	// leader is nil if the entries report to each other.
+	leader *leaderReporter
+
 	mu      sync.Mutex
 	tracker *Tracker
 	// ownLocks holds the locks that this entry has or is requesting, by fingerprint.
 	ownLocks map[uint64]*encoder.SuspectAsk
-	closed   bool
+	// quarantined holds the requests that the control hosts have quarantined, with the time when this entry learned of it.
+	quarantined map[uint64]time.Time
+	// servers holds the last known server of each address.
+	servers map[string]sycamorevane.Server
+	closed  bool
 
 	refusals                     tally.Counter
 	deathCount, quarantinedCount tally.Gauge
@@ -87,16 +108,25 @@
 	m := cfg.Metrics.SubScope("quarantiner")
 	q := &Quarantiner{
 		cfg: cfg, ctx: ctx, cancel: cancel, tracker: NewTracker(cfg.Retention),
-		isDead: notListening, lockWait: lockWaitTimeout, ownLocks: make(map[uint64]*encoder.SuspectAsk),
+		isDead: refusesConnections, quarantined: make(map[uint64]time.Time), lockWait: lockWaitTimeout, ownLocks: make(map[uint64]*encoder.SuspectAsk),
 		refusals: m.Counter("refused"), deathCount: m.Gauge("deaths"), quarantinedCount: m.Gauge("quarantined"),
 	}
+	if cfg.EntryHosts == nil {
+		q.cfg.EntryHosts = func() []string { return []string{cfg.Self} }
+		q.leader = newLeaderReporter(q)
+	}
 	cfg.Transport.Handle(&encoder.Death{}, q.handleDeath)
 	cfg.Transport.Handle(&encoder.SuspectAsk{}, q.handleSuspectAsk)
 	return q
 }
 
-// Start starts the goroutine that fetches reports from the other entries, renews locks and removes expired state.
-func (q *Quarantiner) Start() { q.wg.Go(q.loop) }
+// Start starts the goroutines that exchange reports, renew locks and remove expired state.
+func (q *Quarantiner) Start() {
+	q.wg.Go(q.loop)
+	if q.leader != nil {
+		q.wg.Go(q.leader.loop)
+	}
+}
 
 // Close stops all goroutines and waits for them.
 func (q *Quarantiner) Close() {
@@ -165,7 +195,7 @@
 	startedAt := time.Now()
 	for {
 		q.mu.Lock()
-		s, remaining := q.tracker.Status(time.Now(), fingerprint)
+		s, remaining := q.statusLocked(time.Now(), fingerprint)
 		q.mu.Unlock()
 		switch s {
 		case unsuspected:
@@ -192,10 +222,18 @@
 func (q *Quarantiner) status(fingerprint uint64) status {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s, _ := q.tracker.Status(time.Now(), fingerprint)
+	s, _ := q.statusLocked(time.Now(), fingerprint)
 	return s
 }
 
+// statusLocked returns the status of a request and, if it is quarantined, the remaining time of the quarantine.
+func (q *Quarantiner) statusLocked(now time.Time, fingerprint uint64) (status, time.Duration) {
+	if since, ok := q.quarantined[fingerprint]; ok {
+		return quarantined, max(minRetryAfter, since.Add(q.cfg.Retention).Sub(now))
+	}
+	return q.tracker.Status(now, fingerprint)
+}
+
 // reserveLock reserves the lock of a suspect for one request on this entry. It returns false when another request on
 // this entry has it.
 func (q *Quarantiner) reserveLock(req *encoder.SuspectAsk) bool {
@@ -319,7 +357,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if s, _ := q.tracker.Status(time.Now(), p.fingerprint); s == quarantined {
+	if s, _ := q.statusLocked(time.Now(), p.fingerprint); s == quarantined {
 		return false
 	}
 	q.tracker.StartRequest(p.fingerprint, server)
@@ -327,17 +365,35 @@
 }
 
 // End implements forwarder.Permit.
-func (p *permit) End(server sycamorevane.Server, kind sycamorevane.OutcomeKind) {
+func (p *permit) End(server sycamorevane.Server, kind sycamorevane.OutcomeKind) (died bool) {
 	q := p.q
 	q.mu.Lock()
 	mayHaveDied, cleared := q.tracker.EndRequest(time.Now(), p.fingerprint, server, kind)
+	if _, ok := q.quarantined[p.fingerprint]; ok && isResponse(kind) {
+		q.leader.addResponded(responseKey{p.fingerprint, server.Version})
+	}
 	q.mu.Unlock()
 	for _, id := range cleared {
 		q.reportDeath(id)
 	}
-	if mayHaveDied && (kind == sycamorevane.OutcomeConnectFailed || q.isDead(server.Addr)) {
+	if !mayHaveDied || q.isLeaving(server) {
+		return false
+	}
+	if kind == sycamorevane.OutcomeConnectFailed || q.isDead(server.Addr) {
 		q.ConfirmDeath(server)
 	}
+	return q.isRecordedDead(server.ID)
+}
+
+func (q *Quarantiner) isLeaving(server sycamorevane.Server) bool {
+	return q.cfg.IsLeaving != nil && q.cfg.IsLeaving(server)
+}
+
+func (q *Quarantiner) isRecordedDead(server string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_, ok := q.tracker.deaths[server]
+	return ok
 }
 
 // Done implements forwarder.Permit.
@@ -347,23 +403,51 @@
 	}
 }
 
-// notListening reports whether nothing listens at the address. A process that is ending may close its listener after
+// refusesConnections reports whether the host of the address refuses connections to it, as it does when the process has
+// ended. A host that cannot be reached may still run the process. A process that is ending may close its listener after
 // its connections, so a first successful connection is checked by a second one.
-func notListening(addr string) bool {
-	if !isListening(addr) {
-		return true
+func refusesConnections(addr string) bool {
+	err := tryConnect(addr)
+	if err == nil {
+		time.Sleep(redialDelay)
+		err = tryConnect(addr)
 	}
-	time.Sleep(redialDelay)
-	return !isListening(addr)
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-func isListening(addr string) bool {
+func tryConnect(addr string) error {
 	c, err := net.DialTimeout("tcp", addr, dialTimeout)
 	if err != nil {
-		return false
+		return err
 	}
-	_ = c.Close()
-	return true
+	return c.Close()
+}
+
+// ServersChanged is called after every change with all known servers. A new server at a known address means that the previous
+// one has died, possibly because of the requests that it was running, unless it has announced that it stops.
+func (q *Quarantiner) ServersChanged(servers []sycamorevane.Server) {
+	byAddr := make(map[string]sycamorevane.Server, len(servers))
+	var replaced []sycamorevane.Server
+	q.mu.Lock()
+	for _, s := range servers {
+		if previous, ok := q.servers[s.Addr]; ok && previous.ID != s.ID {
+			replaced = append(replaced, previous)
+		}
+		byAddr[s.Addr] = s
+	}
+	q.servers = byAddr
+	q.mu.Unlock()
+	if len(replaced) == 0 {
+		return
+	}
+	// ConfirmDeath waits for replies, which the handler of a message must not do.
+	q.spawn(func() {
+		for _, s := range replaced {
+			if !q.isLeaving(s) {
+				q.ConfirmDeath(s)
+			}
+		}
+	})
 }
 
 // ConfirmDeath records that a server has died and reports the death to the other entries before it returns. It is also
@@ -375,7 +459,12 @@
 	if report == nil {
 		return
 	}
-	q.cfg.Log.Info("server died with requests running", "server", server.ID, "version", server.Version, "requests", len(report.Running))
+	q.cfg.Log.Info("server died with requests running", "server", server.ID, "version", server.Version,
+		"requests", len(report.Running), "fingerprints", formatFingerprints(report.Running))
+	if q.leader != nil {
+		q.leader.report(server.ID)
+		return
+	}
 	q.sendReport(report)
 	q.mu.Lock()
 	merged := q.tracker.encodeDeath(time.Now(), q.tracker.deaths[server.ID])
@@ -385,8 +474,12 @@
 	}
 }
 
-// reportDeath sends the current report of one death to the other entries.
+// reportDeath sends the current report of one death.
 func (q *Quarantiner) reportDeath(server string) {
+	if q.leader != nil {
+		q.leader.enqueue(server, nil)
+		return
+	}
 	q.mu.Lock()
 	d, ok := q.tracker.deaths[server]
 	var report *encoder.Death
@@ -420,7 +513,7 @@
 	lastSync, lastRenewal := time.Time{}, time.Now()
 	for {
 		now := time.Now()
-		if now.Sub(lastSync) > syncInterval && q.syncDeaths() {
+		if q.leader == nil && now.Sub(lastSync) > syncInterval && q.syncDeaths() {
 			lastSync = now
 		}
 		if now.Sub(lastRenewal) > lockLease/3 {
@@ -477,6 +570,7 @@
 	q.mu.Lock()
 	q.tracker.RemoveExpired(now)
 	deaths, quarantinedRequests := q.tracker.Counts(now)
+	quarantinedRequests = max(quarantinedRequests, len(q.quarantined))
 	q.mu.Unlock()
 	q.deathCount.Update(float64(deaths))
 	q.quarantinedCount.Update(float64(quarantinedRequests))
--- a/quarantiner/tracker.go
+++ b/quarantiner/tracker.go
@@ -159,6 +159,57 @@
 	return servers
 }
 
+// isResponse reports whether an outcome means that the server has responded to the request, having run it.
+func isResponse(kind sycamorevane.OutcomeKind) bool {
+	return kind == sycamorevane.OutcomeOK || kind == sycamorevane.OutcomeFailed
+}
+
+// respondingVersions returns the versions from which a response to the request has arrived less than clearancePeriod ago.
+func (t *Tracker) respondingVersions(now time.Time, fingerprint uint64) []string {
+	var versions []string
+	for _, responses := range []map[responseKey]time.Time{t.responses, t.olderResponses} {
+		for key, at := range responses {
+			if key.fingerprint == fingerprint && now.Sub(at) < clearancePeriod && !slices.Contains(versions, key.version) {
+				versions = append(versions, key.version)
+			}
+		}
+	}
+	return versions
+}
+
+// isCleared reports whether the request was running on servers that died and has been cleared of all of these deaths.
+func (t *Tracker) isCleared(fingerprint uint64) bool {
+	for _, id := range t.serversByRequest[fingerprint] {
+		if !t.deaths[id].clearedByRequest[fingerprint] {
+			return false
+		}
+	}
+	return len(t.serversByRequest[fingerprint]) > 0
+}
+
+// relatedDeaths returns the recorded form of the deaths and, for each request that may have caused one of them, as many of
+// the other deaths as are needed to quarantine it.
+func (t *Tracker) relatedDeaths(now time.Time, deaths []*encoder.Death) []*encoder.Death {
+	listed := sycamorevane.NewSet[string]()
+	var list []*encoder.Death
+	add := func(id string) {
+		if d, ok := t.deaths[id]; ok && !listed.Has(id) {
+			listed.Add(id)
+			list = append(list, t.encodeDeath(now, d))
+		}
+	}
+	for _, m := range deaths {
+		add(m.Server)
+		for _, fingerprint := range m.Running {
+			related := t.unclearedDeaths(now, fingerprint)
+			for _, d := range related[:min(len(related), quarantineThreshold)] {
+				add(d.serverID)
+			}
+		}
+	}
+	return list
+}
+
 // clearedByResponse reports whether a response shows that the request did not cause a death at diedAt. The response
 // must have arrived after the death, or less than clearancePeriod before it.
 func (t *Tracker) clearedByResponse(diedAt time.Time, fingerprint uint64, version string) bool {
--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -22,6 +22,7 @@
 	"sycamorevane.example/sycamorevane/persister"
 	"sycamorevane.example/sycamorevane/promoter"
 	"sycamorevane.example/sycamorevane/publisher"
+	"sycamorevane.example/sycamorevane/quarantiner"
 	"sycamorevane.example/sycamorevane/replicator"
 	"sycamorevane.example/sycamorevane/resolver"
 )
@@ -57,6 +58,7 @@
 	catalog       *cataloger.ControlCatalog
 	administrator *administrator.Administrator
 	promoter      *promoter.Promoter
+	quarantiner   *quarantiner.Collector
 	// accountant is nil in a deployment without usage reports.
 	accountant *accountant.Accountant
 	// coordinator and prober are nil without shared placement.
@@ -115,6 +117,15 @@
 		State:    func() sycamorevane.State { return *c.stateMachine.State() },
 		Capacity: c.capacity, Submit: c.submit,
 	})
+	c.quarantiner = quarantiner.NewCollector(quarantiner.CollectorConfig{
+		Transport:   p.mesh,
+		IsLeader:    func() bool { self, _ := c.isLeader(); return self },
+		Quarantined: func() map[string]int64 { return c.stateMachine.State().Quarantined },
+		Submit: func(quarantined, released []string) error {
+			return c.propose(applier.OpQuarantine, applier.Args{Quarantined: quarantined, Released: released})
+		},
+		Log: p.cfg.Log, Metrics: p.metrics,
+	})
 	c.accountant = c.newAccountant()
 	if p.features.SharedPlacement {
 		c.coordinator = newCoordinator(c)
@@ -147,6 +158,7 @@
 	c.catalog.Start()
 	c.publisher.Start()
 	c.promoter.Start()
+	c.quarantiner.Start()
 	if c.accountant != nil {
 		c.accountant.Start()
 	}
@@ -442,6 +454,7 @@
 		c.prober.Close()
 	}
 	c.promoter.Close()
+	c.quarantiner.Close()
 	c.publisher.Close()
 	c.catalog.Close()
 	c.directory.Close()
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -20,6 +20,7 @@
 	"sycamorevane.example/sycamorevane/encoder"
 	"sycamorevane.example/sycamorevane/forwarder"
 	"sycamorevane.example/sycamorevane/promoter"
+	"sycamorevane.example/sycamorevane/quarantiner"
 	"sycamorevane.example/sycamorevane/recorder"
 	"sycamorevane.example/sycamorevane/resolver"
 	"sycamorevane.example/sycamorevane/subscriber"
@@ -69,6 +70,7 @@
 	catalog           *cataloger.Follower
 	dispatcher        *dispatcher.Dispatcher
 	forwarder         *forwarder.Forwarder
+	quarantiner       *quarantiner.Quarantiner
 	evidenceCollector *promoter.Collector
 	evidenceReporter  *promoter.Reporter
 	// usageReporter is nil in a deployment without usage reports.
@@ -98,7 +100,10 @@
 		OnChange: e.stateChanged, OnPush: e.handlePush, Log: p.cfg.Log,
 	})
 	e.catalog = cataloger.NewFollower(cataloger.FollowerConfig{
-		Transport: p.mesh, Source: p.selector.currentSource, OnChange: func() { e.dispatcher.Update() }, Log: p.cfg.Log,
+		Transport: p.mesh, Source: p.selector.currentSource, OnChange: e.catalogChanged, Log: p.cfg.Log,
+	})
+	e.quarantiner = quarantiner.New(quarantiner.Config{
+		Self: p.mesh.Self(), Transport: p.mesh, Leader: e.subscriber.Leader, IsLeaving: e.isLeaving, Log: p.cfg.Log, Metrics: p.metrics,
 	})
 	var placement dispatcher.Scheduler
 	if p.features.SharedPlacement {
@@ -119,7 +124,7 @@
 		e.usageReporter, runs = reporter, counter
 	}
 	e.forwarder = forwarder.New(forwarder.Config{
-		Self: p.cfg.Settings.Name, Limiter: e.dispatcher, State: e.subscriber.State, Dialect: p.cfg.Adapter.Dialect(),
+		Self: p.cfg.Settings.Name, Limiter: e.dispatcher, Quarantine: e.quarantiner, State: e.subscriber.State, Dialect: p.cfg.Adapter.Dialect(),
 		Observe: e.evidenceCollector.Observe, FirstState: e.subscriber.FirstState(), ResponseGrace: responseGrace,
 		ShuttingDown: e.shuttingDown.Load, StopsAt: e.stopTime, DialTimeout: serverDialTimeout,
 		EntryCount:    func() int { return int(max(1, e.entryCount.Load())) },
@@ -163,10 +168,32 @@
 }
 
 func (e *discoveryEntry) stateChanged(st *sycamorevane.State) {
+	e.quarantiner.SetQuarantined(st.Quarantined)
 	e.evidenceCollector.Update(st.Rollouts)
 	e.dispatcher.Update()
 }
 
+func (e *discoveryEntry) catalogChanged() {
+	e.dispatcher.Update()
+	records := e.catalog.All()
+	servers := make([]sycamorevane.Server, len(records))
+	for i := range records {
+		servers[i] = records[i].Server
+	}
+	e.quarantiner.ServersChanged(servers)
+}
+
+// isLeaving reports whether the server has announced that it stops.
+func (e *discoveryEntry) isLeaving(server sycamorevane.Server) bool {
+	for _, record := range e.catalog.All() {
+		if record.Server.ID == server.ID {
+			st := e.subscriber.State()
+			return record.Leaving() || st != nil && st.ServerDrained(&record.Server, record.StartedAt)
+		}
+	}
+	return false
+}
+
 // handlePush handles the parts of a push other than the state. Values that differ between control hosts are taken only from
 // the source.
 func (e *discoveryEntry) handlePush(from string, m *encoder.StatePush) {
@@ -176,6 +203,7 @@
 		return
 	}
 	e.p.setMembers(m.Members)
+	e.quarantiner.SetTerm(m.Term)
 	if from != e.p.selector.currentSource() {
 		return
 	}
@@ -190,6 +218,7 @@
 
 func (e *discoveryEntry) start() {
 	e.subscriber.Start()
+	e.quarantiner.Start()
 	e.evidenceReporter.Start()
 	if e.usageReporter != nil {
 		e.usageReporter.Start()
@@ -368,6 +397,7 @@
 		e.placement.Close()
 	}
 	e.forwarder.Close()
+	e.quarantiner.Close()
 	if e.usageReporter != nil {
 		e.usageReporter.Close(ctx)
 	}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -25,10 +25,6 @@
 // three reports are missed.
 const presenceInterval = time.Second
 
-// maxQueuedDeaths limits the queue of dead servers that are still to be reported. Deaths beyond this limit are detected
-// by broken connections.
-const maxQueuedDeaths = 1024
-
 // entry is the role that serves callers and receives announcements of servers.
 type entry struct {
 	p                 *Process
@@ -44,18 +40,14 @@
 	evidenceCollector *promoter.Collector
 	evidenceReporter  *promoter.Reporter
 	callerListener    *listener
-	serversMu         sync.Mutex
-	// servers are the last known live servers of this data centre, by address.
-	servers          map[string]sycamorevane.Server
-	deadServers      *sycamorevane.Ring[sycamorevane.Server]
-	announceListener *listener
-	ctx              context.Context
-	cancel           context.CancelFunc
-	wg               sync.WaitGroup
+	announceListener  *listener
+	ctx               context.Context
+	cancel            context.CancelFunc
+	wg                sync.WaitGroup
 }
 
 func newEntry(p *Process) (*entry, error) {
-	e := &entry{p: p, deadServers: sycamorevane.NewRing[sycamorevane.Server](maxQueuedDeaths)}
+	e := &entry{p: p}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	s := p.cfg.Settings
 	e.evidenceCollector = promoter.NewCollector(processClock)
@@ -128,7 +120,6 @@
 	e.evidenceReporter.Start()
 	e.wg.Go(e.presenceLoop)
 	e.wg.Go(e.summaryLoop)
-	e.wg.Go(e.deathLoop)
 	e.callerListener.serve(e.p)
 	e.announceListener.serve(e.p)
 }
@@ -141,36 +132,10 @@
 	e.limiter.StateChanged()
 }
 
-// serversChanged is called after every change with all live servers of this data centre. A new server ID at a known address
-// means that the previous process died, possibly because of the requests that it was running.
+// serversChanged is called after every change with all live servers of this data centre.
 func (e *entry) serversChanged(servers []sycamorevane.Server) {
 	e.limiter.SetServers(servers)
-	e.serversMu.Lock()
-	defer e.serversMu.Unlock()
-	byAddr := make(map[string]sycamorevane.Server, len(servers))
-	for _, s := range servers {
-		if previous, ok := e.servers[s.Addr]; ok && previous.ID != s.ID {
-			e.deadServers.Push(previous)
-		}
-		byAddr[s.Addr] = s
-	}
-	e.servers = byAddr
-}
-
-// deathLoop reports dead servers to the other entries. It runs separately because it waits for replies, which a message
-// handler must not do.
-func (e *entry) deathLoop() {
-	for {
-		if s, ok := e.deadServers.Pop(); ok {
-			e.quarantiner.ConfirmDeath(s)
-			continue
-		}
-		select {
-		case <-e.deadServers.Wake():
-		case <-e.ctx.Done():
-			return
-		}
-	}
+	e.quarantiner.ServersChanged(servers)
 }
 
 // accepting reports whether this entry accepts new requests.
--- a/types.go
+++ b/types.go
@@ -483,6 +483,9 @@
 	// ServingVersions is the version per service that receives the calls outside of rollouts. Servers of other versions
 	// receive none, so that a version without a rollout stays idle.
 	ServingVersions map[string]string `json:"Serving"`
+	// Quarantined holds the requests that crash servers, by FormatFingerprint, with the time of acceptance in Unix ms. All
+	// entries refuse them. It is used in deployments with discovery.
+	Quarantined map[string]int64
 }
 
 // ServerDrained reports whether the server, which started at startedAt in Unix ms, is recorded in DrainedServers: by its
