Control: join a group whose leader is not among the seeds

Cause: join connected to the leader that a seed named and called at once, which fails without a session; updateSessions then removed the leader as a host that nobody wants.

Change: the hosts that join asks are wanted until this host is a member and knows a leader; a request waits for its session; all hosts are asked at the same time.

--- a/runner/discovery.go
+++ b/runner/discovery.go
@@ -248,6 +248,11 @@
 		names = p.selector.selectTargets(time.Now(), names, alive)
 	}
 	wanted := sycamorevane.NewSet(names...)
+	if p.control != nil {
+		for _, name := range p.control.hostsToJoin() {
+			wanted.Add(name)
+		}
+	}
 	if p.entry != nil && p.control == nil {
 		for _, name := range p.entry.schedulingHosts() {
 			wanted.Add(name)
--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -31,6 +31,8 @@
 	// joinInterval is how often a host that is not a member of the control group, or is cut off from it, asks to join.
 	joinInterval = 500 * time.Millisecond
 	joinTimeout  = 400 * time.Millisecond
+	// joinRetryInterval is how often it checks whether a session with a host that it asks is open.
+	joinRetryInterval = 20 * time.Millisecond
 	// memberRemovalTimeout is how long a control host must be unresponsive before it is removed from the group, so that
 	// it no longer counts towards the majority. It joins again when it is back. The timeout is longer than the
 	// disruptions that hosts survive. A host that joins takes the place of an unresponsive one earlier.
@@ -71,6 +73,8 @@
 	servers           []*http.Server
 	replicating       atomic.Bool
 	startedAt         time.Time
+	// joinHosts are the hosts that join asks; nil while this host is a member that knows a leader.
+	joinHosts atomic.Pointer[[]string]
 }
 
 func newDiscoveryControl(p *DiscoveryProcess) (*discoveryControl, error) {
@@ -406,39 +410,74 @@
 			return
 		}
 		name, self, _ := c.replicator.Leader()
-		if self {
-			continue
-		}
-		if name == "" || !slices.Contains(c.members(), c.p.mesh.Self()) {
+		if !self && (name == "" || !slices.Contains(c.members(), c.p.mesh.Self())) {
 			c.join()
+			continue
 		}
+		c.joinHosts.Store(nil)
+	}
+}
+
+// hostsToJoin returns the hosts that this host asks to add it to the control group.
+func (c *discoveryControl) hostsToJoin() []string {
+	if hosts := c.joinHosts.Load(); hosts != nil {
+		return *hosts
 	}
+	return nil
 }
 
-// join asks the known control hosts, and the leaders that they name, to add this host to the control group.
+// join asks the known control hosts, and the leaders that they name, to add this host to the control group. It keeps the sessions
+// with all of them until the next round.
 func (c *discoveryControl) join() {
-	tried := sycamorevane.NewSet(c.p.mesh.Self())
-	names := append(c.otherMembers(), c.p.seeds()...)
-	for i := 0; i < len(names); i++ {
-		if tried.Has(names[i]) {
-			continue
+	asked := sycamorevane.NewSet(c.p.mesh.Self())
+	var hosts []string
+	for names := append(c.otherMembers(), c.p.seeds()...); len(names) > 0; {
+		var next []string
+		for _, name := range names {
+			if !asked.Has(name) {
+				asked.Add(name)
+				next = append(next, name)
+			}
+		}
+		hosts = append(hosts, next...)
+		wanted := append(slices.Clone(hosts), c.hostsToJoin()...)
+		c.joinHosts.Store(&wanted)
+		names = c.requestJoin(next)
+	}
+	c.joinHosts.Store(&hosts)
+}
+
+// requestJoin asks the hosts at the same time and returns the leaders that they name.
+func (c *discoveryControl) requestJoin(hosts []string) []string {
+	leaders := make(chan string, len(hosts))
+	for _, name := range hosts {
+		c.p.mesh.Connect(name, "", name)
+		c.p.wg.Go(func() { leaders <- c.requestJoinFrom(name) })
+	}
+	var named []string
+	for range hosts {
+		if leader := <-leaders; leader != "" {
+			named = append(named, leader)
 		}
-		tried.Add(names[i])
-		c.p.mesh.Connect(names[i], "", names[i])
-		ctx, cancel := context.WithTimeout(c.p.ctx, joinTimeout)
-		reply, err := c.p.mesh.Call(ctx, names[i], &encoder.ReplaceAsk{New: c.p.mesh.Self()})
-		cancel()
-		if err != nil {
+	}
+	return named
+}
+
+// requestJoinFrom asks one host, once a session with it is open, and returns the leader that it names; empty for none.
+func (c *discoveryControl) requestJoinFrom(name string) string {
+	ctx, cancel := context.WithTimeout(c.p.ctx, joinTimeout)
+	defer cancel()
+	for {
+		reply, err := c.p.mesh.Call(ctx, name, &encoder.ReplaceAsk{New: c.p.mesh.Self()})
+		var unreachable *sycamorevane.UnreachableError
+		if errors.As(err, &unreachable) && ctx.Err() == nil {
+			sleep(ctx, joinRetryInterval)
 			continue
 		}
-		r, ok := reply.(*encoder.ConsensusReply)
-		switch {
-		case !ok:
-		case r.Status == encoder.ConsensusReply_NOT_LEADER && r.Leader != "":
-			names = append(names, r.Leader)
-		case r.Status != encoder.ConsensusReply_NOT_LEADER:
-			return
+		if r, ok := reply.(*encoder.ConsensusReply); ok && r.Status == encoder.ConsensusReply_NOT_LEADER {
+			return r.Leader
 		}
+		return ""
 	}
 }
 
