Requests: a copy of an earlier refusal proves nothing about a request with the same ID

Cause: the ID was taken as proof that a response belongs to the attempt. It does not if a caller sends its request again on the same connection, or if the server echoes no IDs.

Change: no request is sent on a connection on which a request with its ID was refused. A refusal without an ID on a used connection leaves the outcome unknown; orders to servers that omit IDs use new connections.

A refusal still keeps its connection.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -262,15 +263,8 @@
 	if a.ctx.Err() != nil || !a.startedAt.Before(deadline) {
 		return a.connectFailed(context.DeadlineExceeded) // Cancelled or past its deadline while waiting for a slot.
 	}
-	maxAge := maxIdleAtMostOnce
-	switch {
-	case newConn:
-		maxAge = 0
-	case !c.atMostOnce:
-		maxAge = maxIdle
-	}
 	p := c.f.pools.get(&a.grant.Server, c.f.entryCount(c.index.entryHosts), a.startedAt)
-	conn, err := p.get(a.ctx, maxAge, deadline)
+	conn, err := a.openConn(p, newConn, deadline)
 	if err != nil {
 		return a.connectFailed(err)
 	}
@@ -288,6 +282,23 @@
 	return a.readBody(resp)
 }
 
+// openConn returns a connection on which no response to another request can be taken for the response to this one.
+func (a *attempt) openConn(p *connPool, newConn bool, deadline time.Time) (*serverConn, error) {
+	maxAge := maxIdleAtMostOnce
+	switch {
+	case newConn, a.c.atMostOnce && p.omitsIDs.Load():
+		maxAge = 0
+	case !a.c.atMostOnce:
+		maxAge = maxIdle
+	}
+	conn, err := p.get(a.ctx, maxAge, deadline)
+	if err != nil || !slices.Contains(conn.refusedIDs, a.id) {
+		return conn, err
+	}
+	p.discard(conn)
+	return p.get(a.ctx, 0, deadline)
+}
+
 // entryCount returns the number of entries that share the connection limit of a server: configured, unless the Config
 // overrides it.
 func (f *Forwarder) entryCount(configured int) int {
@@ -493,8 +504,11 @@
 		}
 	}
 	a.c.f.reportDirective(&a.grant.Server, resp, a.startedAt)
+	if len(echoes) == 0 && !a.c.f.dialect.KeepRequestID {
+		a.conn.pool.omitsIDs.Store(true)
+	}
 	switch {
-	case a.c.f.dialect.KeepRequestID && a.conn.reused && len(echoes) == 0:
+	case a.conn.reused && len(echoes) == 0 && (a.c.f.dialect.KeepRequestID || a.c.f.dialect.saysNotRun(resp)):
 		return errRequestIDMismatch // It may be a late second response, so that it does not say whether this request ran.
 	case a.c.f.dialect.saysNotRun(resp):
 	case a.c.f.dialect.Proof != "" && len(echoes) == 0:
@@ -631,7 +645,10 @@
 	a.conn.setBodyDeadline(time.Now().Add(discardTimeout)) // The body is only read so that the connection can be reused.
 	_, err := io.CopyN(io.Discard, resp.Body, maxDiscardedBodyBytes)
 	a.addressReused = resp.StatusCode == http.StatusMisdirectedRequest
-	a.finish(sycamorevane.OutcomeShed, err == io.EOF && !resp.Close)
+	if a.c.f.dialect.KeepRequestID {
+		a.conn.refusedIDs = append(a.conn.refusedIDs, a.id)
+	}
+	a.finish(sycamorevane.OutcomeShed, err == io.EOF && !resp.Close && len(a.conn.refusedIDs) <= maxRefusedIDs)
 	seconds, _ := strconv.Atoi(resp.Header.Get(headerRetryAfter))
 	return &result{
 		kind: sycamorevane.OutcomeShed, server: a.grant.Server, id: a.id,
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -19,7 +19,9 @@
 	// maxResponseHeaderBytes limits the status line and the header of a response.
 	maxResponseHeaderBytes = 32 << 10
 	readBufferBytes        = 4 << 10
-	writeBufferBytes       = 4 << 10
+	// maxRefusedIDs limits serverConn.refusedIDs; a connection with more is not reused.
+	maxRefusedIDs    = 64
+	writeBufferBytes = 4 << 10
 )
 
 var (
@@ -38,6 +40,9 @@
 	reused    bool
 	// probed is set when a probe was sent on the connection.
 	probed bool
+	// refusedIDs are the IDs of the requests that the server has refused on the connection. A faulty server may write a refusal
+	// again, so that a request with one of these IDs must not be sent on it.
+	refusedIDs []string
 	// serverIdleTimeout is how long the server keeps an idle connection open; 0 when it has not said.
 	serverIdleTimeout time.Duration
 	// progressTimeout limits each read and write of a body. bodyDeadline limits all reads of a response body; nil for no
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -108,6 +109,8 @@
 	id          string
 	addr        string
 	dialTimeout time.Duration
+	// omitsIDs is set when the server has sent a response without a request ID although each attempt has its own.
+	omitsIDs atomic.Bool
 
 	mu      sync.Mutex
 	maxOpen int
