--- a/replicator/cluster_test.go
+++ b/replicator/cluster_test.go
@@ -124,6 +124,48 @@
 	persister.OS
 	diskFull  atomic.Bool
 	syncDelay atomic.Int64 // in ns
+	// failing is the kind of operation that fails while the disk is full.
+	failing atomic.Int32
+}
+
+// Kinds of operation that fail while a disk is full. A write that runs out of space may store a part of its data.
+const (
+	failWrites = iota
+	failPartialWrites
+	failSyncs
+	failCreations
+	failRenames
+	failEverything
+	failureKinds
+)
+
+func (f *faultFS) fails(kinds ...int32) bool {
+	return f.diskFull.Load() && (slices.Contains(kinds, f.failing.Load()) || f.failing.Load() == failEverything)
+}
+
+func (f *faultFS) Create(name string) (persister.File, error) {
+	if f.fails(failCreations) {
+		return nil, errFull
+	}
+	file, err := f.OS.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	return &faultFile{file, f}, nil
+}
+
+func (f *faultFS) Rename(from, to string) error {
+	if f.fails(failRenames) {
+		return errFull
+	}
+	return f.OS.Rename(from, to)
+}
+
+func (f *faultFS) SyncDir(dir string) error {
+	if f.fails(failSyncs) {
+		return errFull
+	}
+	return f.OS.SyncDir(dir)
 }
 
 type faultFile struct {
@@ -139,13 +181,20 @@
 }
 
 func (f *faultFile) Write(b []byte) (int, error) {
-	if f.fs.diskFull.Load() {
+	switch {
+	case f.fs.fails(failPartialWrites):
+		n, _ := f.File.Write(b[:len(b)/2])
+		return n, errFull
+	case f.fs.fails(failWrites):
 		return 0, errFull
 	}
 	return f.File.Write(b)
 }
 
 func (f *faultFile) Sync() error {
+	if f.fs.fails(failSyncs) {
+		return errFull
+	}
 	time.Sleep(time.Duration(f.fs.syncDelay.Load()))
 	return f.File.Sync()
 }
