Control: hosts that join ask a busy leader again soon

What callers saw on the large deployment (19 control hosts): after the first start no request was served, and changes got "no control leader is known" from hosts that had not joined.

Cause: all hosts ask to join at the same moment and the leader makes one change at a time. The others came again half a second later, all together, so that one host joined in each half second: eight seconds for the group.

Change: a leader that is making another change is asked again after 20 to 60 ms.

--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -31,7 +32,7 @@
 	// joinInterval is how often a host that is not a member of the control group, or is cut off from it, asks to join.
 	joinInterval = 500 * time.Millisecond
 	joinTimeout  = 400 * time.Millisecond
-	// joinRetryInterval is how often it checks whether a session with a host that it asks is open.
+	// joinRetryInterval is how often it asks again a host with which no session is open yet, or which is making another change.
 	joinRetryInterval = 20 * time.Millisecond
 	// memberRemovalTimeout is how long a control host must be unresponsive before it is removed from the group, so that
 	// it no longer counts towards the majority. It joins again when it is back. The timeout is longer than the
@@ -463,22 +464,31 @@
 	return named
 }
 
-// requestJoinFrom asks one host, once a session with it is open, and returns the leader that it names; empty for none.
+// requestJoinFrom asks one host, once a session with it is open, and returns the leader that it names; empty for none. A leader that is
+// still making another change is asked again soon: when a group is being formed, all hosts join at the same time.
 func (c *discoveryControl) requestJoinFrom(name string) string {
 	ctx, cancel := context.WithTimeout(c.p.ctx, joinTimeout)
 	defer cancel()
-	for {
+	isMember := func() bool { return slices.Contains(c.members(), c.p.mesh.Self()) }
+	// A host that was removed while it was cut off may still take itself for a member.
+	for wasMember := isMember(); ctx.Err() == nil && (wasMember || !isMember()); {
 		reply, err := c.p.mesh.Call(ctx, name, &encoder.ReplaceAsk{New: c.p.mesh.Self()})
+		r, _ := reply.(*encoder.ConsensusReply)
 		var unreachable *sycamorevane.UnreachableError
-		if errors.As(err, &unreachable) && ctx.Err() == nil {
+		switch {
+		case errors.As(err, &unreachable):
 			sleep(ctx, joinRetryInterval)
-			continue
-		}
-		if r, ok := reply.(*encoder.ConsensusReply); ok && r.Status == encoder.ConsensusReply_NOT_LEADER {
+		case err != nil || r == nil:
+			return ""
+		case r.Status == encoder.ConsensusReply_NOT_LEADER:
 			return r.Leader
+		case r.Status == encoder.ConsensusReply_UNCERTAIN:
+			sleep(ctx, joinRetryInterval+rand.N(2*joinRetryInterval))
+		default:
+			return ""
 		}
-		return ""
 	}
+	return ""
 }
 
 func (c *discoveryControl) stop(ctx context.Context) {
