Entries let a new control group form before they contact it

Cause: the sessions of all entries begin before the election and the joins of the other 16 control hosts, and the three members of that time are all that the entries learn of, so that each of the three had 449 sessions.

Change: at the first start of a deployment an entry contacts control hosts after two seconds.

--- a/runner/discovery.go
+++ b/runner/discovery.go
@@ -74,6 +74,9 @@
 	// connectSpread is the time over which an entry that has reached a control host opens its other sessions. A session
 	// costs a small control host a few milliseconds.
 	connectSpread = time.Second
+	// firstContactDelay is how long an entry waits before it contacts control hosts at the first start of the deployment, when
+	// these do not know each other yet and would handle the sessions of all entries before they can elect a leader and join.
+	firstContactDelay = 2 * time.Second
 	// seedDialDelay is how long an entry waits for a seed before it also dials the next one.
 	seedDialDelay = 300 * time.Millisecond
 	// heapMemoryRatio is the soft memory limit of the Go runtime as a fraction of the memory in the settings. Near this
@@ -97,6 +100,7 @@
 	wg       sync.WaitGroup
 	// metricsServer is nil when the metrics are not served.
 	metricsServer *http.Server
+	startedAt     time.Time
 	// schedule is used only by updateSessions.
 	schedule connectSchedule
 
@@ -149,6 +153,7 @@
 // Start connects to control hosts, starts the roles and serves requests.
 func (p *DiscoveryProcess) Start() error {
 	p.mesh.Start()
+	p.startedAt = time.Now()
 	p.updateSessions()
 	if p.control != nil {
 		if err := p.control.start(); err != nil {
@@ -242,6 +247,9 @@
 // updateSessions opens sessions with the control hosts that this process needs and, while none of them is reached, with the
 // seeds. It ends sessions that are no longer needed.
 func (p *DiscoveryProcess) updateSessions() {
+	if p.control == nil && p.cfg.Settings.FirstStart && time.Since(p.startedAt) < firstContactDelay {
+		return
+	}
 	alive := p.aliveControls()
 	names := p.controlHosts()
 	if p.control == nil {
--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -74,12 +74,14 @@
 	servers           []*http.Server
 	replicating       atomic.Bool
 	startedAt         time.Time
+	formingMembers    memberList
 	// joinHosts are the hosts that join asks; nil while this host is a member that knows a leader.
 	joinHosts atomic.Pointer[[]string]
 }
 
 func newDiscoveryControl(p *DiscoveryProcess) (*discoveryControl, error) {
 	c := &discoveryControl{p: p, stateMachine: applier.New(), startedAt: time.Now()}
+	c.formingMembers.startedAt = c.startedAt
 	s := p.cfg.Settings
 	openStore := func() (sycamorevane.Store, error) { return persister.Open(persister.Config{Dir: s.Control.DataDir}) }
 	store, err := openStore()
@@ -234,10 +236,10 @@
 // completePush returns a function that adds to a push what the receiving entry cannot know by itself. Only the rank differs
 // between entries; everything else is computed once.
 func (c *discoveryControl) completePush() func(m *encoder.StatePush, entry string) {
-	names, members := c.directory.Names(), c.members()
+	names, members := c.directory.Names(), c.formingMembers.settled(time.Now(), c.members())
 	leader, _, _ := c.replicator.Leader()
 	epoch, revision := c.catalog.Revision()
-	addNearby := c.addNearby(members)
+	addNearby := c.addNearby(c.members())
 	return func(m *encoder.StatePush, entry string) {
 		m.Leader = leader
 		rank, entries := c.directory.Rank(names, entry)
