--- a/forwarder/refusal_copy_test.go
+++ b/forwarder/refusal_copy_test.go
@@ -135,3 +135,37 @@
 	require.Len(t, backend.Runs(), 5)
 	require.Equal(t, 1, r.f.pools.byID[server.ID].open)
 }
+
+// Guards against a refusal of an upload that is still being sent, and a copy of it that reaches the next request.
+func TestCopyOfAnEarlyRefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 No\r\nX-Request-Id: q1\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
+	var runs atomic.Int32
+	_, server := newScriptedServer(t, func(s *scriptedServer, n int, c net.Conn) {
+		r := bufio.NewReader(c)
+		if n == 0 {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, refusal)
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, refusal)
+		}
+		if req, ok := s.readRequest(r); ok && n > 0 {
+			runs.Add(1)
+			_, _ = io.WriteString(c, strings.ReplaceAll(provenResponse, "ID", req.Header.Get("X-Request-Id")))
+		}
+	})
+	r := newTestRig(t, withRules(), server)
+	resp, _, err := r.do("POST", "/set/x", strings.Repeat("x", 4<<20), "X-Request-Id", "q1")
+	if err == nil {
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	}
+	for _, id := range []string{"q1", "q2"} {
+		before := runs.Load()
+		r.limiter.nextServer = 0
+		resp, _, err := r.do("POST", "/set/x", "", "X-Request-Id", id)
+		require.NoError(t, err)
+		expectTrueAnswer(t, resp.StatusCode, int(runs.Load()-before))
+	}
+	require.Positive(t, runs.Load())
+}
