Quarantine: a connection that could not be opened is no death

Found in a reading of the change: a dial that timed out, as to a server that is cut off, blamed the requests that were running on it, and two such servers would quarantine a request that was tried on both.

A failed connection is checked like a broken one: only an address that refuses connections shows a death. The request that could not be sent was not running there, so its next attempt does not wait for the check; other attempts wait for 0.1 s at most.

TestFailedConnection fails before the change for a server that runs.

--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -31,10 +31,11 @@
 // Report lists the log lines of a request.
 type Report struct {
 	Lines []Line
-	// related holds the lines about requests with a fingerprint, by fingerprint.
-	related map[string][]Line
 	// LinesRead is the number of lines in the logs, Unreadable the number of those without a valid JSON object.
 	LinesRead, Unreadable int
+
+	// related holds the lines that name fingerprints and no request, by fingerprint.
+	related map[string][]Line
 }
 
 // Find returns the lines of the request in the logs, sorted by time. A line may have a prefix before its JSON object, such
@@ -79,15 +80,16 @@
 	if _, ok := fields["request"]; ok {
 		return
 	}
-	var line *Line
+	var fingerprints []string
 	for _, key := range fingerprintKeys {
-		for _, fingerprint := range texts(fields[key]) {
-			if line == nil {
-				l := newLine(maps.Clone(fields))
-				line = &l
-			}
-			r.related[fingerprint] = append(r.related[fingerprint], *line)
-		}
+		fingerprints = append(fingerprints, texts(fields[key])...)
+	}
+	if len(fingerprints) == 0 {
+		return
+	}
+	line := newLine(fields)
+	for _, fingerprint := range fingerprints {
+		r.related[fingerprint] = append(r.related[fingerprint], line)
 	}
 }
 
@@ -117,6 +119,7 @@
 	for fingerprint := range fingerprints {
 		r.Lines = append(r.Lines, r.related[fingerprint]...)
 	}
+	r.related = nil
 }
 
 func newLine(fields map[string]any) Line {
--- a/quarantiner/leader_reporter.go
+++ b/quarantiner/leader_reporter.go
@@ -78,12 +78,8 @@
 	}
 }
 
-// addResponded records a response to a quarantined request. On an entry that does not report to a leader it does nothing.
-// Quarantiner.mu must be held.
+// addResponded records a response to a quarantined request. Quarantiner.mu must be held.
 func (r *leaderReporter) addResponded(key responseKey) {
-	if r == nil {
-		return
-	}
 	r.responded[key] = struct{}{}
 	r.signal()
 }
--- a/quarantiner/leader_test.go
+++ b/quarantiner/leader_test.go
@@ -287,3 +287,29 @@
 	require.True(t, refusesConnections(l.Addr().String()))
 	require.False(t, refusesConnections("127.0.0.1:99999"), "the attempt fails for another reason")
 }
+
+// Guards against requests that are blamed for a server to which a connection could not be opened although it runs, as in a network
+// partition, and against a server that has died and is noticed by a failed connection only.
+func TestFailedConnection(t *testing.T) {
+	for _, isDead := range []bool{false, true} {
+		t.Run(fmt.Sprint("dead=", isDead), func(t *testing.T) {
+			g := newControlGroup(t, 1, time.Minute)
+			s := testServer(1)
+			require.True(t, g.send(0, 1, s))
+			g.dead[s.ID] = isDead
+			p, err := g.entries[0].Admit(t.Context(), 2)
+			require.NoError(t, err)
+			require.True(t, p.Start(s))
+			require.False(t, p.End(s, sycamorevane.OutcomeConnectFailed))
+			p.Done()
+			if isDead {
+				expectStatus(t, g.entries[0], 1, suspect)
+			}
+			time.Sleep(20 * time.Millisecond)
+			require.Equal(t, unsuspected, g.entries[0].status(2), "was not sent")
+			if !isDead {
+				require.Equal(t, unsuspected, g.entries[0].status(1))
+			}
+		})
+	}
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -29,8 +29,8 @@
 const (
 	// DefaultRetention is how long the death of a server counts against requests.
 	DefaultRetention = 10 * time.Minute
-	// dialTimeout limits the connection attempt that shows whether a server has died.
-	dialTimeout = 200 * time.Millisecond
+	// dialTimeout limits the connection attempt that shows whether a server has died. A retry waits for it.
+	dialTimeout = 100 * time.Millisecond
 	redialDelay = 20 * time.Millisecond
 	// reportTimeout limits how long the response to a caller is delayed until the other entries know of a death. They
 	// must know because the caller may resend the request through any of them.
@@ -379,12 +379,29 @@
 	if !mayHaveDied || q.isLeaving(server) {
 		return false
 	}
-	if kind == sycamorevane.OutcomeConnectFailed || q.isDead(server.Addr) {
-		q.ConfirmDeath(server)
+	if kind == sycamorevane.OutcomeConnectFailed {
+		// Only other requests can have been running on the server, so that the next attempt need not wait.
+		q.spawn(func() { q.checkServer(server) })
+		return false
 	}
+	q.checkServer(server)
 	return q.isRecordedDead(server.ID)
 }
 
+// checkServer confirms the death of a server that refuses connections.
+func (q *Quarantiner) checkServer(server sycamorevane.Server) {
+	if q.hasRequests(server.ID) && q.isDead(server.Addr) {
+		q.ConfirmDeath(server)
+	}
+}
+
+// hasRequests reports whether this entry has, or recently had, requests running on the server.
+func (q *Quarantiner) hasRequests(server string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.tracker.requestsByServer[server]) > 0
+}
+
 func (q *Quarantiner) isLeaving(server sycamorevane.Server) bool {
 	return q.cfg.IsLeaving != nil && q.cfg.IsLeaving(server)
 }
@@ -570,7 +587,9 @@
 	q.mu.Lock()
 	q.tracker.RemoveExpired(now)
 	deaths, quarantinedRequests := q.tracker.Counts(now)
-	quarantinedRequests = max(quarantinedRequests, len(q.quarantined))
+	if q.leader != nil {
+		quarantinedRequests = len(q.quarantined)
+	}
 	q.mu.Unlock()
 	q.deathCount.Update(float64(deaths))
 	q.quarantinedCount.Update(float64(quarantinedRequests))
