Quarantine: a server whose address was used before is not replaced at each change

The catalog still lists the server that used the address before, so that each change of the catalog looked like a replacement. Requests were blamed for deaths that did not happen; their responses cleared them.

Only the server that was started last at each address counts, and its state before it was replaced tells a planned stop from a death: the catalog marks a replaced server as ended.

--- a/quarantiner/leader_test.go
+++ b/quarantiner/leader_test.go
@@ -256,7 +256,7 @@
 			q := g.entries[0]
 			first := testServer(1)
 			if isLeaving {
-				g.leaving.Add(first.ID)
+				first.State = sycamorevane.ServerDraining
 			}
 			q.ServersChanged([]sycamorevane.Server{first})
 			p, err := q.Admit(t.Context(), poisonRequest)
@@ -313,3 +313,14 @@
 		})
 	}
 }
+
+// Guards against a planned stop that cuts requests and counts as a death under them.
+func TestAnnouncedStopIsNoDeath(t *testing.T) {
+	g := newControlGroup(t, 1, time.Minute)
+	s := testServer(1)
+	g.leaving.Add(s.ID)
+	require.True(t, g.send(0, 1, s))
+	g.dead[s.ID] = true
+	g.endRequest(0)
+	require.Equal(t, unsuspected, g.entries[0].status(1))
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -440,14 +440,14 @@
 	return c.Close()
 }
 
-// ServersChanged is called after every change with all known servers. A new server at a known address means that the previous
-// one has died, possibly because of the requests that it was running, unless it has announced that it stops.
+// ServersChanged is called after every change with the server at each known address. A new one means that the previous one has
+// died, possibly because of the requests that it was running, unless its last state was draining.
 func (q *Quarantiner) ServersChanged(servers []sycamorevane.Server) {
 	byAddr := make(map[string]sycamorevane.Server, len(servers))
 	var replaced []sycamorevane.Server
 	q.mu.Lock()
 	for _, s := range servers {
-		if previous, ok := q.servers[s.Addr]; ok && previous.ID != s.ID {
+		if previous, ok := q.servers[s.Addr]; ok && previous.ID != s.ID && previous.State != sycamorevane.ServerDraining {
 			replaced = append(replaced, previous)
 		}
 		byAddr[s.Addr] = s
@@ -460,9 +460,7 @@
 	// ConfirmDeath waits for replies, which the handler of a message must not do.
 	q.spawn(func() {
 		for _, s := range replaced {
-			if !q.isLeaving(s) {
-				q.ConfirmDeath(s)
-			}
+			q.ConfirmDeath(s)
 		}
 	})
 }
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -175,12 +175,27 @@
 
 func (e *discoveryEntry) catalogChanged() {
 	e.dispatcher.Update()
-	records := e.catalog.All()
-	servers := make([]sycamorevane.Server, len(records))
+	e.quarantiner.ServersChanged(currentServers(e.catalog.All()))
+}
+
+// currentServers returns the server that was started last at each address. The catalog keeps those that used the address before.
+func currentServers(records []cataloger.ServerRecord) []sycamorevane.Server {
+	latest := make(map[string]*cataloger.ServerRecord, len(records))
 	for i := range records {
-		servers[i] = records[i].Server
+		record := &records[i]
+		if other, ok := latest[record.Server.Addr]; !ok || record.StartedAt > other.StartedAt {
+			latest[record.Server.Addr] = record
+		}
+	}
+	servers := make([]sycamorevane.Server, 0, len(latest))
+	for _, record := range latest {
+		server := record.Server
+		if record.Leaving() {
+			server.State = sycamorevane.ServerDraining
+		}
+		servers = append(servers, server)
 	}
-	e.quarantiner.ServersChanged(servers)
+	return servers
 }
 
 // isLeaving reports whether the server has announced that it stops.
