Control: a group that exists tells its members at once

Cause: holds back the members until they have not changed for 0.6 s, at every start. Entries choose the host that sends them the state from these.

Change: only at the first start of a deployment.

--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -81,8 +81,10 @@
 
 func newDiscoveryControl(p *DiscoveryProcess) (*discoveryControl, error) {
 	c := &discoveryControl{p: p, stateMachine: applier.New(), startedAt: time.Now()}
-	c.formingMembers.startedAt = c.startedAt
 	s := p.cfg.Settings
+	if s.FirstStart {
+		c.formingMembers.startedAt = c.startedAt
+	}
 	openStore := func() (sycamorevane.Store, error) { return persister.Open(persister.Config{Dir: s.Control.DataDir}) }
 	store, err := openStore()
 	if err != nil {
--- a/runner/member_list_test.go
+++ b/runner/member_list_test.go
@@ -18,4 +18,7 @@
 	require.Nil(t, l.settled(start.Add(1500*time.Millisecond), all))
 	require.Equal(t, all, l.settled(start.Add(time.Second+membersSettleTime), all))
 	require.Equal(t, few, l.settled(start.Add(formingPeriod), few), "a host has been lost")
+
+	restarted := &memberList{}
+	require.Equal(t, all, restarted.settled(start, all), "the group exists, and entries wait for it")
 }
