--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -25,8 +25,6 @@
 	ContactTimeout = 3 * time.Second
 	tickInterval   = 250 * time.Millisecond
 	fetchTimeout   = time.Second
-	// fetchHedgeDelay is several times what a quorum read takes.
-	fetchHedgeDelay = 150 * time.Millisecond
 	// silenceTimeout is the time without contact with a control host after which an entry with ServeWhenIsolated
 	// requests the state itself. Pushes arrive every second, so at least one is missing by then.
 	silenceTimeout = 1500 * time.Millisecond
@@ -223,57 +221,28 @@
 }
 
 // fetchState requests the state from one control host after another until one replies and the entry has at least the
-// version of the reply. It reports whether it succeeded. A control host replies only after a quorum read, so that one that has lost
-// the quorum does not reply for up to fetchTimeout. An entry that has a state, and thus needs only what has changed, therefore
-// requests it from the next host as well after fetchHedgeDelay.
+// version of the reply. It reports whether it succeeded. A control host replies only after a quorum read.
 func (s *Subscriber) fetchState() bool {
-	names := s.controlHosts()
-	hedgeDelay := fetchHedgeDelay
-	if s.State() == nil {
-		hedgeDelay = fetchTimeout
-	}
-	ctx, cancel := context.WithCancel(s.ctx)
-	defer cancel()
-	results := make(chan bool, len(names))
-	running := 0
-	for _, name := range names {
-		running++
-		s.wg.Go(func() { results <- s.fetchFrom(ctx, name) })
-		timer := time.NewTimer(hedgeDelay)
-		select {
-		case succeeded := <-results:
-			running--
-			timer.Stop()
-			if succeeded {
+	for _, name := range s.controlHosts() {
+		ctx, cancel := context.WithTimeout(s.ctx, fetchTimeout)
+		reply, err := s.cfg.Transport.Call(ctx, name, &encoder.StateAsk{Have: s.version()})
+		cancel()
+		if err != nil {
+			continue
+		}
+		if push, ok := reply.(*encoder.StatePush); ok {
+			s.recordControlContact()
+			if s.cfg.OnPush != nil {
+				s.cfg.OnPush(name, push)
+			}
+			if s.adopt(push) {
 				return true
 			}
-		case <-timer.C:
-		}
-	}
-	for range running {
-		if <-results {
-			return true
 		}
 	}
 	return false
 }
 
-// fetchFrom requests the state from one control host.
-func (s *Subscriber) fetchFrom(ctx context.Context, name string) bool {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	reply, err := s.cfg.Transport.Call(ctx, name, &encoder.StateAsk{Have: s.version()})
-	push, ok := reply.(*encoder.StatePush)
-	if err != nil || !ok {
-		return false
-	}
-	s.recordControlContact()
-	if s.cfg.OnPush != nil {
-		s.cfg.OnPush(name, push)
-	}
-	return s.adopt(push)
-}
-
 // controlHosts lists the control hosts, beginning with the one that sent the last push.
 func (s *Subscriber) controlHosts() []string {
 	names := s.cfg.ControlHosts
