Tests: cut responses use few listeners

The ports of these had been taken by others in the meantime: TestResponseCutAtEachByte opened more than five thousand listeners and as many test servers on ephemeral ports.

The responses, cuts and checks are the same, and each cut of a probe is now played with a regular end and with a reset.

--- a/forwarder/cutresponse_test.go
+++ b/forwarder/cutresponse_test.go
@@ -7,29 +7,54 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"sycamorevane.example/sycamorevane"
 )
 
 // cutPause is the time in which the bytes before a reset arrive.
 const cutPause = 2 * time.Millisecond
 
-// cutAfter writes the first n bytes of the response and closes the connection after the pause, with a reset if reset is set.
-func cutAfter(response string, n int, pause time.Duration, reset bool) func(*scriptedServer, int, net.Conn) {
-	return func(s *scriptedServer, _ int, c net.Conn) {
-		req, ok := s.readRequest(bufio.NewReader(c))
+// cuttingServer writes the first bytes of a response and closes the connection after a pause, with a reset if reset is set.
+type cuttingServer struct {
+	*scriptedServer
+	server   sycamorevane.Server
+	response string
+	reset    bool
+	// length is the number of bytes; pause is in ns.
+	length, pause atomic.Int64
+}
+
+func newCuttingServer(t *testing.T, response string, reset bool) *cuttingServer {
+	s := &cuttingServer{response: response, reset: reset}
+	s.pause.Store(int64(cutPause))
+	s.scriptedServer, s.server = newScriptedServer(t, func(scripted *scriptedServer, _ int, c net.Conn) {
+		req, ok := scripted.readRequest(bufio.NewReader(c))
 		if !ok {
 			return
 		}
-		_, _ = io.WriteString(c, strings.ReplaceAll(response, "ID", req.Header.Get("X-Request-Id"))[:n])
-		time.Sleep(pause)
+		_, _ = io.WriteString(c, strings.ReplaceAll(response, "ID", req.Header.Get("X-Request-Id"))[:s.length.Load()])
+		time.Sleep(time.Duration(s.pause.Load()))
 		if reset {
 			_ = c.(*net.TCPConn).SetLinger(0)
 		}
+	})
+	return s
+}
+
+// respondAlways responds to all requests on a connection.
+func respondAlways(text string) func(*scriptedServer, int, net.Conn) {
+	return func(s *scriptedServer, _ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for req, ok := s.readRequest(r); ok; req, ok = s.readRequest(r) {
+			_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", req.Header.Get("X-Request-Id")))
+		}
 	}
 }
 
@@ -53,50 +78,59 @@
 		for _, reset := range []bool{false, true} {
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
+				cut := newCuttingServer(t, response, reset)
+				_, good := newScriptedServer(t, respondAlways(provenResponse))
+				orders, reads := newTestRig(t, withRules(), cut.server), newTestRig(t, withRules(), cut.server, good)
 				for n := range len(response) {
-					expectNoSuccess(t, response, n, cutPause, reset)
+					cut.length.Store(int64(n))
+					expectOrderUncertain(t, cut, orders)
+					expectReadElsewhere(t, cut, reads)
 				}
-				expectNoSuccess(t, response, len(response)-1, 3*bufferTimeout, reset)
+				cut.pause.Store(int64(3 * bufferTimeout))
+				expectOrderUncertain(t, cut, orders)
+				expectReadElsewhere(t, cut, reads)
 			})
 		}
 	}
 }
 
-func expectNoSuccess(t *testing.T, response string, n int, pause time.Duration, reset bool) {
+func expectOrderUncertain(t *testing.T, cut *cuttingServer, r *testRig) {
 	t.Helper()
-	cut, server := newScriptedServer(t, cutAfter(response, n, pause, reset))
-	r := newTestRig(t, withRules(), server)
-	defer r.client.CloseIdleConnections()
+	before := cut.requestCount()
+	r.limiter.nextServer = 0
 	resp, body, err := r.do("POST", "/set/x", "", "X-Request-Id", "ID")
 	if err == nil {
-		assert.Equal(t, http.StatusBadGateway, resp.StatusCode, "order, %d bytes, reset %v, body %q", n, reset, body)
+		assert.Equal(t, http.StatusBadGateway, resp.StatusCode, "%d bytes, reset %v, body %q", cut.length.Load(), cut.reset, body)
 	}
-	assert.Equal(t, 1, cut.requestCount(), "order, %d bytes", n)
+	assert.Equal(t, 1, cut.requestCount()-before, "%d bytes", cut.length.Load())
+}
 
-	_, server = newScriptedServer(t, cutAfter(response, n, pause, reset))
-	_, good := newScriptedServer(t, respondOnce(provenResponse, 0))
-	r = newTestRig(t, withRules(), server, good)
-	defer r.client.CloseIdleConnections()
+func expectReadElsewhere(t *testing.T, cut *cuttingServer, r *testRig) {
+	t.Helper()
 	start := time.Now()
-	resp, body, err = r.do("GET", "/x", "", "X-Request-Id", "ID")
-	if errors.Is(err, io.ErrUnexpectedEOF) && strings.Contains(response, "chunked") && time.Since(start) > bufferTimeout {
+	r.limiter.nextServer = 0
+	resp, body, err := r.do("GET", "/x", "", "X-Request-Id", "ID")
+	if errors.Is(err, io.ErrUnexpectedEOF) && strings.Contains(cut.response, "chunked") && time.Since(start) > bufferTimeout {
 		return // A response of unknown length is streamed after bufferTimeout. The caller then sees that it has been cut.
 	}
 	require.NoError(t, err)
-	assert.Equal(t, http.StatusOK, resp.StatusCode, "read, %d bytes", n)
-	assert.Equal(t, "ok", body, "read, %d bytes", n)
+	assert.Equal(t, http.StatusOK, resp.StatusCode, "%d bytes", cut.length.Load())
+	assert.Equal(t, "ok", body, "%d bytes", cut.length.Load())
 }
 
 // Guards against a probe that is taken for answered although its response ends in the middle.
 func TestProbeResponseCutAtEachByte(t *testing.T) {
 	t.Parallel()
 	const response = "HTTP/1.1 200 OK\r\nX-Instance: i\r\nContent-Length: 2\r\n\r\nok"
-	for n := range len(response) {
-		_, server := newScriptedServer(t, cutAfter(response, n, cutPause, n%2 == 0))
-		r := newTestRig(t, withRules(), server)
-		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		_, _, err := r.f.Probe(ctx, server, "/health")
-		cancel()
-		assert.Error(t, err, "%d bytes", n)
+	for _, reset := range []bool{false, true} {
+		cut := newCuttingServer(t, response, reset)
+		r := newTestRig(t, withRules(), cut.server)
+		for n := range len(response) {
+			cut.length.Store(int64(n))
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_, _, err := r.f.Probe(ctx, cut.server, "/health")
+			cancel()
+			assert.Error(t, err, "%d bytes", n)
+		}
 	}
 }
