Tests: the server list of the limiter is set under its lock

Cause: TestCopyOfAnEarlyRefusal sets the next server while the upload that was refused early may still hold the limiter: the client's write error is no order between the two goroutines. Change: startWith and addServer set the fields under the mutex of the test limiter. Measured: none of 120 repeats of the test fails under the race detector, and none of 60 of TestCopyOf* and TestRefusalKeeps*.

--- a/forwarder/cutresponse_test.go
+++ b/forwarder/cutresponse_test.go
@@ -100,7 +100,7 @@
 func expectOrderUncertain(t *testing.T, cut *cuttingServer, r *testRig) {
 	t.Helper()
 	before := cut.orders.Load()
-	r.limiter.nextServer = 0
+	r.limiter.startWith(0)
 	resp, body, err := r.do("POST", "/set/x", "", "X-Request-Id", "ID")
 	if err == nil {
 		assert.Equal(t, http.StatusBadGateway, resp.StatusCode, "%d bytes, reset %v, body %q", cut.length.Load(), cut.reset, body)
@@ -111,7 +111,7 @@
 func expectReadElsewhere(t *testing.T, cut *cuttingServer, r *testRig) {
 	t.Helper()
 	start := time.Now()
-	r.limiter.nextServer = 0
+	r.limiter.startWith(0)
 	resp, body, err := r.do("GET", "/x", "", "X-Request-Id", "ID")
 	if errors.Is(err, io.ErrUnexpectedEOF) && strings.Contains(cut.response, "chunked") && time.Since(start) > bufferTimeout {
 		return // A response of unknown length is streamed after bufferTimeout. The caller then sees that it has been cut.
--- a/forwarder/faults_test.go
+++ b/forwarder/faults_test.go
@@ -159,7 +159,7 @@
 			assert.Empty(t, backend.Runs(), "the request may have run already")
 			assert.Equal(t, c.want, r.limiter.kinds()[0])
 
-			r.limiter.nextServer = 0
+			r.limiter.startWith(0)
 			resp, body, err := r.do("GET", "/flag", "")
 			require.NoError(t, err)
 			assert.Equal(t, 200, resp.StatusCode)
@@ -210,7 +210,7 @@
 					// Without an ID, a late response is only detected if it arrives before the next request is sent.
 					time.Sleep(30 * time.Millisecond)
 				}
-				r.limiter.nextServer = 0
+				r.limiter.startWith(0)
 				resp, body, err := r.do(method, "/x", "")
 				require.NoError(t, err)
 				assert.Equal(t, 200, resp.StatusCode)
@@ -244,12 +244,12 @@
 	require.NoError(t, err)
 	time.Sleep(maxIdleAtMostOnce + 50*time.Millisecond)
 
-	r.limiter.nextServer = 0
+	r.limiter.startWith(0)
 	resp, _, err := r.do("POST", "/x", "")
 	require.NoError(t, err)
 	assert.Equal(t, 200, resp.StatusCode, "a request that must not run twice uses no connection that has been idle for long")
 
-	r.limiter.nextServer = 0
+	r.limiter.startWith(0)
 	p := r.f.pools.byID[server.ID]
 	p.mu.Lock()
 	p.idle = p.idle[:1] // Only the dead connection.
@@ -332,7 +332,7 @@
 	assert.Equal(t, []sycamorevane.OutcomeKind{sycamorevane.OutcomeConnectFailed, sycamorevane.OutcomeOK}, r.limiter.kinds())
 
 	require.NoError(t, backend.Restart())
-	r.limiter.nextServer = 1
+	r.limiter.startWith(1)
 	resp, _, err = r.do("POST", "/x", "b")
 	require.NoError(t, err)
 	assert.Equal(t, 200, resp.StatusCode, "closed connections must be detected before they are used")
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -68,6 +68,19 @@
 	l.outcomes = append(l.outcomes, o.Kind)
 }
 
+// startWith makes the next grant that of server n.
+func (l *sequentialLimiter) startWith(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.nextServer = n
+}
+
+func (l *sequentialLimiter) addServer(s sycamorevane.Server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.servers = append(l.servers, s)
+}
+
 func (l *sequentialLimiter) kinds() []sycamorevane.OutcomeKind {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/forwarder/refusal_copy_test.go
+++ b/forwarder/refusal_copy_test.go
@@ -99,7 +99,8 @@
 	resp, _, err := r.do("POST", "/set/x", "", "X-Request-Id", "q1")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
-	r.limiter.nextServer, r.limiter.servers = 0, append(r.limiter.servers, server)
+	r.limiter.addServer(server)
+	r.limiter.startWith(0)
 	resp, _, err = r.do("POST", "/set/x", "", "X-Request-Id", "q1")
 	require.NoError(t, err)
 	expectTrueAnswer(t, resp.StatusCode, int(s.runs.Load())+other.requestCount())
@@ -116,7 +117,7 @@
 	resp, _, err := r.do("POST", "/x", "")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
-	r.limiter.nextServer = 0
+	r.limiter.startWith(0)
 	resp, _, err = r.do("POST", "/x", "")
 	require.NoError(t, err)
 	expectTrueAnswer(t, resp.StatusCode, int(s.runs.Load()))
@@ -127,7 +128,7 @@
 	backend, server := newBackend(t, faker.Behaviour{})
 	r := newTestRig(t, nil, server)
 	for range 5 {
-		r.limiter.nextServer = 0
+		r.limiter.startWith(0)
 		resp, _, err := r.do("POST", "/x", "")
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, resp.StatusCode)
@@ -162,7 +163,7 @@
 	}
 	for _, id := range []string{"q1", "q2"} {
 		before := runs.Load()
-		r.limiter.nextServer = 0
+		r.limiter.startWith(0)
 		resp, _, err := r.do("POST", "/set/x", "", "X-Request-Id", id)
 		require.NoError(t, err)
 		expectTrueAnswer(t, resp.StatusCode, int(runs.Load()-before))
