Entries request a state again when it has been overtaken by a push

Cause: a control host replies to a request for the state with the change from the version that the entry had when it asked. If a push has arrived meanwhile, the change does not apply. The entry then asked the other control hosts, of which those without a quorum take 0.9 s each, and waited 100 to 500 ms after that, while the control host took the change for delivered and did not push it again.

Change: the entry asks the same host again with its new version.

Result: TestOutdatedChangeIsRequestedAgain fails before (not there after 500 ms) and holds.

--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -223,24 +223,42 @@
 // fetchState requests the state from one control host after another until one replies and the entry has at least the
 // version of the reply. It reports whether it succeeded. A control host replies only after a quorum read.
 func (s *Subscriber) fetchState() bool {
-	for _, name := range s.controlHosts() {
-		ctx, cancel := context.WithTimeout(s.ctx, fetchTimeout)
-		reply, err := s.cfg.Transport.Call(ctx, name, &encoder.StateAsk{Have: s.version()})
-		cancel()
-		if err != nil {
-			continue
-		}
-		if push, ok := reply.(*encoder.StatePush); ok {
-			s.recordControlContact()
-			if s.cfg.OnPush != nil {
-				s.cfg.OnPush(name, push)
-			}
-			if s.adopt(push) {
-				return true
-			}
+	return slices.ContainsFunc(s.controlHosts(), s.fetchFrom)
+}
+
+// fetchFrom requests the state from one control host. It reports whether the entry has at least the version of the reply.
+func (s *Subscriber) fetchFrom(host string) bool {
+	for {
+		have := s.version()
+		push, err := s.requestState(host, have)
+		switch {
+		case err != nil:
+			return false
+		case s.adopt(push):
+			return true
+		case s.version() == have:
+			return false
 		}
+		// A push has arrived in the meantime, and the change in the reply starts from the state before it.
+	}
+}
+
+func (s *Subscriber) requestState(host string, have uint64) (*encoder.StatePush, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, fetchTimeout)
+	defer cancel()
+	reply, err := s.cfg.Transport.Call(ctx, host, &encoder.StateAsk{Have: have})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	push, ok := reply.(*encoder.StatePush)
+	if !ok {
+		return nil, errors.Errorf("control host %q has replied without a state", host)
+	}
+	s.recordControlContact()
+	if s.cfg.OnPush != nil {
+		s.cfg.OnPush(host, push)
 	}
-	return false
+	return push, nil
 }
 
 // controlHosts lists the control hosts, beginning with the one that sent the last push.
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -10,9 +10,11 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"sycamorevane.example/sycamorevane"
 	"sycamorevane.example/sycamorevane/encoder"
+	"sycamorevane.example/sycamorevane/faker"
 	"sycamorevane.example/sycamorevane/messenger"
 	"sycamorevane.example/sycamorevane/publisher"
 )
@@ -241,3 +243,35 @@
 	_, err := publisher.DecodeState([]byte("not gzip"))
 	require.Error(t, err)
 }
+
+// Guards against an entry that stays behind because the state has changed while it waited for a reply: the change in the reply starts
+// from the older state, and the control host does not push it again.
+func TestOutdatedChangeIsRequestedAgain(t *testing.T) {
+	mesh := faker.NewMesh()
+	control := mesh.AddPeer("c1")
+	mesh.AddPeer("c2")
+	mesh.Partition(1, "c2")
+	s := New(Config{
+		Transport: mesh.AddPeer("e1"), ControlHosts: []string{"c1", "c2"}, ServeWhenIsolated: true,
+		OnChange: func(*sycamorevane.State) {}, Log: logr.Discard(),
+	})
+	pushOf := func(version uint64) *encoder.StatePush {
+		data, err := publisher.EncodeState(stateAt(version))
+		require.NoError(t, err)
+		return &encoder.StatePush{Version: version, State: data}
+	}
+	replies := map[uint64]*encoder.StatePush{0: pushOf(7), 7: {Version: 9, Base: 7, Change: []byte("from 7")}, 8: pushOf(9)}
+	overtaking := pushOf(8)
+	control.Handle(&encoder.StateAsk{}, func(_ string, m proto.Message) proto.Message {
+		ask, _ := m.(*encoder.StateAsk)
+		if ask.Have == 7 {
+			s.onPush("c1", overtaking)
+		}
+		return replies[ask.Have]
+	})
+	s.Start()
+	t.Cleanup(s.Close)
+	expectVersion(t, s, 7)
+	s.onPush("c1", &encoder.StatePush{Version: 9})
+	require.Eventually(t, func() bool { return s.version() == 9 }, 500*time.Millisecond, 5*time.Millisecond)
+}
