Entries ask the control host first that has announced the newest state

Cause, from the code: an entry that is behind asked the control host first that had pushed last, also if this was the outdated leader of a minority, then one after the other, also those that had reported to be without a leader. Each takes 0.9 s to find that it has no quorum, and an announcement from another host did not end the wait.

Change: the host that has announced the newest version comes first, those without a leader last; a request that has waited for 150 ms is given up when a host that was not asked yet announces a newer version and its push does not bring it. One request at a time, as before, and none any more once a push has brought the state.

--- a/runner/control_selector.go
+++ b/runner/control_selector.go
@@ -182,18 +182,26 @@
 	return s.source
 }
 
-// relays returns the control hosts that answer this entry and forward its messages, starting with the source.
+// relays returns the control hosts that answer this entry and forward its messages, starting with the source. Those that are
+// not in contact with a leader come last.
 func (s *controlSelector) relays() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var list []string
+	var inContact, detached []string
+	add := func(name string) {
+		if s.detached.Has(name) {
+			detached = append(detached, name)
+			return
+		}
+		inContact = append(inContact, name)
+	}
 	if s.source != "" {
-		list = append(list, s.source)
+		add(s.source)
 	}
 	for _, name := range s.targets {
 		if name != s.source {
-			list = append(list, name)
+			add(name)
 		}
 	}
-	return list
+	return append(inContact, detached...)
 }
--- a/runner/control_selector_test.go
+++ b/runner/control_selector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,6 +151,12 @@
 	require.True(t, changed)
 	require.Equal(t, first, selector.relays()[0])
 
+	t.Run("hosts without a leader are asked last", func(t *testing.T) {
+		before := selector.relays()
+		selector.setDetached(before[0], true)
+		defer selector.setDetached(before[0], false)
+		require.Equal(t, append(slices.Clone(before[1:]), before[0]), selector.relays())
+	})
 	t.Run("nobody knows a leader", func(t *testing.T) {
 		for _, name := range members {
 			selector.setDetached(name, true)
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -25,6 +25,9 @@
 	ContactTimeout = 3 * time.Second
 	tickInterval   = 250 * time.Millisecond
 	fetchTimeout   = time.Second
+	// fetchPatience is how long a request for the state waits for its reply at least, also when another control host has
+	// announced a newer version. It is several times what a quorum read takes.
+	fetchPatience = 150 * time.Millisecond
 	// silenceTimeout is the time without contact with a control host after which an entry with ServeWhenIsolated
 	// requests the state itself. Pushes arrive every second, so at least one is missing by then.
 	silenceTimeout = 1500 * time.Millisecond
@@ -75,9 +78,21 @@
 	isolated            bool
 	// announcedVersion is the highest version that control hosts have announced.
 	announcedVersion uint64
-	// leader is the control leader according to the last push; pushSource is the control host that sent the push.
-	leader     string
-	pushSource string
+	// leader is the control leader according to the last push.
+	leader string
+	// announcer is the control host that has announced announcedVersion last; empty if it has lost the leader since.
+	announcer string
+	// pending is the request for the state that waits for its reply; nil if there is none.
+	pending *stateRequest
+}
+
+// stateRequest is a request for the state to one control host.
+type stateRequest struct {
+	host   string
+	sentAt time.Time
+	// asked are the control hosts that the current fetch has requested the state from, including host.
+	asked  sycamorevane.Set[string]
+	cancel context.CancelFunc
 }
 
 // New returns a Subscriber and registers its message handler. Fetching the state begins with Start.
@@ -223,14 +238,26 @@
 // fetchState requests the state from one control host after another until one replies and the entry has at least the
 // version of the reply. It reports whether it succeeded. A control host replies only after a quorum read.
 func (s *Subscriber) fetchState() bool {
-	return slices.ContainsFunc(s.controlHosts(), s.fetchFrom)
+	wasBehind := s.isBehind()
+	asked := sycamorevane.NewSet[string]()
+	for {
+		hosts := s.controlHosts()
+		i := slices.IndexFunc(hosts, func(name string) bool { return !asked.Has(name) })
+		if i < 0 {
+			return false
+		}
+		asked.Add(hosts[i])
+		if s.fetchFrom(hosts[i], asked) || wasBehind && !s.isBehind() {
+			return true
+		}
+	}
 }
 
 // fetchFrom requests the state from one control host. It reports whether the entry has at least the version of the reply.
-func (s *Subscriber) fetchFrom(host string) bool {
+func (s *Subscriber) fetchFrom(host string, asked sycamorevane.Set[string]) bool {
 	for {
 		have := s.version()
-		push, err := s.requestState(host, have)
+		push, err := s.requestState(host, have, asked)
 		switch {
 		case err != nil:
 			return false
@@ -243,9 +270,11 @@
 	}
 }
 
-func (s *Subscriber) requestState(host string, have uint64) (*encoder.StatePush, error) {
+func (s *Subscriber) requestState(host string, have uint64, asked sycamorevane.Set[string]) (*encoder.StatePush, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, fetchTimeout)
 	defer cancel()
+	s.setPending(&stateRequest{host: host, sentAt: time.Now(), asked: asked, cancel: cancel})
+	defer s.setPending(nil)
 	reply, err := s.cfg.Transport.Call(ctx, host, &encoder.StateAsk{Have: have})
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -261,7 +290,13 @@
 	return push, nil
 }
 
-// controlHosts lists the control hosts, beginning with the one that sent the last push.
+func (s *Subscriber) setPending(r *stateRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending = r
+}
+
+// controlHosts lists the control hosts, beginning with the one that has announced the newest version.
 func (s *Subscriber) controlHosts() []string {
 	names := s.cfg.ControlHosts
 	if s.cfg.ListControlHosts != nil {
@@ -270,14 +305,14 @@
 		names = st.Config.HostsWith(sycamorevane.RoleControl)
 	}
 	s.mu.Lock()
-	pushSource := s.pushSource
+	announcer := s.announcer
 	s.mu.Unlock()
 	ordered := make([]string, 0, len(names)+1)
-	if pushSource != "" {
-		ordered = append(ordered, pushSource)
+	if announcer != "" {
+		ordered = append(ordered, announcer)
 	}
 	for _, n := range names {
-		if n != pushSource {
+		if n != announcer {
 			ordered = append(ordered, n)
 		}
 	}
@@ -296,20 +331,19 @@
 func (s *Subscriber) onPush(from string, m proto.Message) proto.Message {
 	push, _ := m.(*encoder.StatePush)
 	if push.Apart {
+		s.forgetAnnouncer(from)
 		if s.cfg.OnPush != nil {
 			s.cfg.OnPush(from, push)
 		}
 		return nil
 	}
-	s.mu.Lock()
-	s.leader, s.pushSource = push.Leader, from
-	s.announcedVersion = max(s.announcedVersion, push.Version)
-	s.mu.Unlock()
+	s.recordAnnouncement(from, push)
 	s.recordControlContact()
 	if s.State() != nil && (len(push.State) > 0 || len(push.Change) > 0) {
 		s.adopt(push)
 	}
 	if s.version() < push.Version {
+		s.endSlowRequest(from)
 		s.wakeLoop()
 	}
 	if s.cfg.OnPush != nil {
@@ -319,6 +353,33 @@
 	return nil
 }
 
+func (s *Subscriber) recordAnnouncement(from string, push *encoder.StatePush) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = push.Leader
+	if push.Version >= s.announcedVersion {
+		s.announcer, s.announcedVersion = from, push.Version
+	}
+}
+
+// endSlowRequest ends a request for the state that another host has not answered within fetchPatience, so that the announcer of a
+// newer version is asked: the other host may have lost the quorum. The first state is large, so that a busy host may need longer.
+func (s *Subscriber) endSlowRequest(announcer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.pending; r != nil && s.State() != nil && !r.asked.Has(announcer) && time.Since(r.sentAt) >= fetchPatience {
+		r.cancel()
+	}
+}
+
+func (s *Subscriber) forgetAnnouncer(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.announcer == name {
+		s.announcer = ""
+	}
+}
+
 func (s *Subscriber) recordControlContact() {
 	s.mu.Lock()
 	s.lastControlContact = time.Now()
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -244,6 +244,72 @@
 	require.Error(t, err)
 }
 
+// addControl adds a control host that replies with the state of the given version.
+func addControl(mesh *faker.Mesh, name string, version *atomic.Uint64) *faker.Peer {
+	p := mesh.AddPeer(name)
+	p.Handle(&encoder.StateAsk{}, func(string, proto.Message) proto.Message {
+		st := stateAt(version.Load())
+		data, err := publisher.EncodeState(st)
+		if err != nil {
+			return nil
+		}
+		return &encoder.StatePush{Version: st.Version, State: data}
+	})
+	return p
+}
+
+// Guards against an entry that waits for control hosts without a quorum, one after the other, while another one has announced the
+// state and could send it.
+func TestAnnouncerIsAskedAtOnce(t *testing.T) {
+	mesh := faker.NewMesh()
+	mesh.AddPeer("c1")
+	mesh.AddPeer("c2")
+	mesh.Partition(1, "c1", "c2")
+	var version atomic.Uint64
+	version.Store(7)
+	control := addControl(mesh, "c3", &version)
+	var hosts atomic.Pointer[[]string]
+	hosts.Store(&[]string{"c3"})
+	s := New(Config{
+		Transport: mesh.AddPeer("e1"), ListControlHosts: func() []string { return *hosts.Load() }, ServeWhenIsolated: true,
+		OnChange: func(*sycamorevane.State) {}, Log: logr.Discard(),
+	})
+	s.Start()
+	t.Cleanup(s.Close)
+	expectVersion(t, s, 7)
+	hosts.Store(&[]string{"c1", "c2", "c3"})
+	version.Store(8)
+	s.onPush("c1", &encoder.StatePush{Version: 8})
+	time.Sleep(fetchPatience + 100*time.Millisecond)
+	require.EqualValues(t, 7, s.version())
+	require.NoError(t, control.Send("e1", &encoder.StatePush{Version: 8}))
+	require.Eventually(t, func() bool { return s.version() == 8 }, 500*time.Millisecond, 5*time.Millisecond)
+}
+
+func TestOrderOfControlHosts(t *testing.T) {
+	s := New(Config{
+		Transport: faker.NewMesh().AddPeer("e1"), ControlHosts: []string{"c1", "c2", "c3"}, Log: logr.Discard(),
+	})
+	expectFirst := func(t *testing.T, name string) {
+		t.Helper()
+		hosts := s.controlHosts()
+		require.Equal(t, name, hosts[0])
+		require.ElementsMatch(t, s.cfg.ControlHosts, hosts)
+	}
+	t.Run("the host that has announced the newest version comes first", func(t *testing.T) {
+		s.onPush("c3", &encoder.StatePush{Version: 8})
+		expectFirst(t, "c3")
+	})
+	t.Run("a host that announces an older version does not take its place", func(t *testing.T) {
+		s.onPush("c2", &encoder.StatePush{Version: 7})
+		expectFirst(t, "c3")
+	})
+	t.Run("a host that has lost the leader is not preferred", func(t *testing.T) {
+		s.onPush("c3", &encoder.StatePush{Apart: true})
+		expectFirst(t, "c1")
+	})
+}
+
 // Guards against an entry that stays behind because the state has changed while it waited for a reply: the change in the reply starts
 // from the older state, and the control host does not push it again.
 func TestOutdatedChangeIsRequestedAgain(t *testing.T) {
