A leader without true time waits for reports of usage before it closes windows

Cause: a leader takes no reports of entries while it does not know the true time. Two of three control hosts were frozen when it became leader; when the first was back, 4.2 s later, it took its 2.5 s of warming up for over, and closed the window, which was 8.4 s old, before any entry could report.

Change: the time in which reports can be taken begins when the true time is known.

--- a/accountant/core.go
+++ b/accountant/core.go
@@ -19,8 +19,8 @@
 	// sendTime is what is left for the call when a window is closed although too many entries are missing: one that is lost
 	// and one after it.
 	sendTime = 2500 * time.Millisecond
-	// warmupTime is how long after it became leader, or after a pause of its process of at least minPause, a host closes no
-	// window. Entries know a new leader within a few 100 ms and then send it all their cells.
+	// warmupTime is how long after it became leader, after a pause of its process of at least minPause, or after a time without
+	// true time, a host closes no window. Entries know a new leader within a few 100 ms and then send it all their cells.
 	warmupTime = 2500 * time.Millisecond
 	minPause   = time.Second
 	// maxWindowsPerCommit limits the windows in one command.
@@ -81,7 +81,7 @@
 	term   uint64
 	// since is when this host became leader in the term.
 	since time.Duration
-	// steppedAt is the time of the last step as leader. Since listeningSince, reports of entries could be received.
+	// steppedAt is the time of the last step as leader. Since listeningSince, reports of entries could be taken in.
 	steppedAt      time.Duration
 	listeningSince time.Duration
 	committing     bool
@@ -142,7 +142,7 @@
 	}
 	if !c.leader || c.term != in.Term {
 		c.leader, c.term, c.since, c.listeningSince = true, in.Term, in.Now, in.Now
-	} else if in.Now-c.steppedAt >= minPause {
+	} else if in.Now-c.steppedAt >= minPause || !out.ClockKnown {
 		c.listeningSince = in.Now
 	}
 	c.steppedAt = in.Now
--- a/accountant/simulation_test.go
+++ b/accountant/simulation_test.go
@@ -327,6 +327,22 @@
 	}
 }
 
+// Guards against windows without counts from a new leader that did not know the true time, and thus took no reports, until the windows
+// had to be closed.
+func TestReportsAfterATimeWithoutTrueTime(t *testing.T) {
+	for phase := range 10 {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			s := newSim(t, 1)
+			s.run(20*time.Second + time.Duration(phase)*500*time.Millisecond)
+			s.elect(2)
+			s.hosts[0].frozenUntil = s.now + 6*time.Second
+			s.hosts[1].frozenUntil = s.now + 5*time.Second
+			s.run(60 * time.Second)
+			s.check(45 * time.Second)
+		})
+	}
+}
+
 // Guards against two different counts for one window, alternating holders and windows that are never reported, under any
 // sequence of faults.
 func TestReportsUnderFaults(t *testing.T) {
