An entry that is missing in one window of usage is expected in the next

What a run saw: TestReportsUnderFaults: a window was closed 4.9 s after its end without an entry that could be heard again 0.8 s later.

Cause: a committed window held the number of entries that were complete in it, and a new leader expected as many for the next one. A window that had to be closed without an entry thus lowered what the next one waited for.

Change: a window holds the number of entries that were expected.

--- a/accountant/core.go
+++ b/accountant/core.go
@@ -187,7 +187,7 @@
 	for len(change.Windows) < maxWindowsPerCommit {
 		end := c.end(window) - offset
 		age := in.Now - end
-		complete, missing, ready := c.ready(in, age, end)
+		expected, missing, ready := c.ready(in, age, end)
 		if !ready {
 			return
 		}
@@ -205,7 +205,7 @@
 		}
 		counted = total
 		out.Missing = missing
-		change.Windows = append(change.Windows, applier.UsageWindow{Number: window, Counts: counts, Sources: complete})
+		change.Windows = append(change.Windows, applier.UsageWindow{Number: window, Counts: counts, Sources: expected})
 		window++
 	}
 }
@@ -227,25 +227,25 @@
 
 // ready reports whether a window that ended at the given time of this host can be closed: when all expected entries have
 // reported all of it; from a certain age on, when at most a tolerable part of them has not; and finally in any case. As many
-// entries are expected as are known or, on a new leader that has not heard all of them, contributed to the last window.
-func (c *Core) ready(in Input, age, end time.Duration) (complete, missing int, ready bool) {
+// entries are expected as are known or, on a leader that may not have heard all of them yet, were expected for the last window.
+func (c *Core) ready(in Input, age, end time.Duration) (expected, missing int, ready bool) {
 	if age < closeDelay {
 		return 0, 0, false
 	}
 	expected, complete := c.ledger.coverage(in.Now, end)
-	if n := len(in.Committed.Windows); n > 0 {
+	if n := len(in.Committed.Windows); n > 0 && in.Now-c.listeningSince < expectedAge {
 		expected = max(expected, in.Committed.Windows[n-1].Sources-c.finalSources())
 	}
-	missing = expected - complete
+	missing = max(0, expected-complete)
 	latest := max(closeDelay, c.cfg.Late-sendTime)
 	partial := max(closeDelay, c.cfg.Late-c.cfg.Lease-failoverTime)
 	switch {
-	case missing <= 0 || age >= latest:
-		return complete, max(0, missing), true
+	case missing == 0 || age >= latest:
+		return expected, missing, true
 	case age >= partial:
-		return complete, missing, float64(missing) <= c.cfg.Tolerance*float64(expected)
+		return expected, missing, float64(missing) <= c.cfg.Tolerance*float64(expected)
 	}
-	return complete, missing, false
+	return expected, missing, false
 }
 
 func (c *Core) finalSources() int {
--- a/accountant/simulation_test.go
+++ b/accountant/simulation_test.go
@@ -369,6 +369,23 @@
 	}
 }
 
+// Guards against a window that is closed too early because an entry could not be heard for the window before it.
+func TestEntryMissingInOneWindowIsExpectedInTheNext(t *testing.T) {
+	for phase := range 10 {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			s := newSim(t, 1)
+			s.run(20*time.Second + time.Duration(phase)*500*time.Millisecond)
+			s.hosts[0].frozenUntil = s.now + 4*time.Second
+			s.events[s.now+3500*time.Millisecond] = func() {
+				s.elect(2)
+				s.entries[1].cutTill = s.now + 3500*time.Millisecond
+			}
+			s.run(60 * time.Second)
+			s.check(45 * time.Second)
+		})
+	}
+}
+
 // Guards against two different counts for one window, alternating holders and windows that are never reported, under any
 // sequence of faults.
 func TestReportsUnderFaults(t *testing.T) {
--- a/applier/usage.go
+++ b/applier/usage.go
@@ -21,7 +21,7 @@
 	Number int64 `json:"window"`
 	// Counts is the number of requests that servers began to run, by workspace.
 	Counts map[string]uint64 `json:"counts"`
-	// Sources is the number of entries whose counts are complete, apart from those that shut down.
+	// Sources is the number of entries that were expected to report, apart from those that shut down.
 	Sources int `json:"sources"`
 	// Delivered is true when the platform has accepted the report.
 	Delivered bool `json:"delivered,omitempty"`
