A step of a rollout is logged with what has been counted

Cause: the log of a step had phase, share and reason. Change: the line has the evidence against the version, the log likelihood ratio of its acceptance, both thresholds and the number of calls.

--- a/promoter/comparison.go
+++ b/promoter/comparison.go
@@ -314,8 +314,13 @@
 
 // meets reports whether this group of calls meets the criterion. Without reference latencies only errors are
 // considered.
-func (c *comparison) meets(i int) bool {
-	return c.errorAcceptance[i] <= logBeta && (c.slowAcceptance[i] <= logBeta || sum(c.recent) < minReferenceCalls/2)
+func (c *comparison) meets(i int) bool { return c.acceptance(i) <= logBeta }
+
+func (c *comparison) acceptance(i int) float64 {
+	if sum(c.recent) < minReferenceCalls/2 {
+		return c.errorAcceptance[i]
+	}
+	return max(c.errorAcceptance[i], c.slowAcceptance[i])
 }
 
 // likelihoodRatio is the likelihood ratio of rate p1 to rate p0 for k of n calls.
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -837,8 +838,12 @@
 	Strongest   float64
 	Threshold   float64
 	Description string
-	NewCalls    float64
-	Routes      []string
+	// Acceptance is the log likelihood ratio of the weak criterion, which the new version meets at AcceptanceThreshold or
+	// below.
+	Acceptance          float64
+	AcceptanceThreshold float64
+	NewCalls            float64
+	Routes              []string
 }
 
 // Evidence returns the state of the comparison for a service, and false when there is none.
@@ -848,7 +853,10 @@
 		return Evidence{}, false
 	}
 	evidence, what := e.strongestEvidence()
-	view := Evidence{Strongest: evidence, Threshold: revertThreshold, Description: what, NewCalls: e.all.newCalls}
+	view := Evidence{
+		Strongest: min(evidence, math.MaxFloat64), Threshold: revertThreshold, Description: what, NewCalls: e.all.newCalls,
+		Acceptance: e.all.acceptance(weakCriterion), AcceptanceThreshold: logBeta,
+	}
 	for route := range e.routes {
 		view.Routes = append(view.Routes, route)
 	}
--- a/promoter/driver.go
+++ b/promoter/driver.go
@@ -148,7 +148,10 @@
 		p.cfg.Log.Info("rollout step was not committed", "service", service, "phase", s.Phase, "share", s.Share, "error", err.Error())
 		return
 	}
-	p.cfg.Log.Info("rollout step", "service", service, "phase", s.Phase, "share", s.Share, "reason", s.Reason, "late", s.DeadlineAtRisk)
+	e, _ := p.Evidence(service)
+	p.cfg.Log.Info("rollout step", "service", service, "phase", s.Phase, "share", s.Share, "reason", s.Reason, "late", s.DeadlineAtRisk,
+		"evidence", e.Strongest, "about", e.Description, "threshold", e.Threshold,
+		"acceptance", e.Acceptance, "acceptedat", e.AcceptanceThreshold, "calls", e.NewCalls)
 }
 
 // ReporterConfig holds the parameters of a Reporter.
