Tests: short rollouts with versions that are bad in part, late or under load

Change: TestExposure plays rollouts of 12 and 16 s at 340 calls a second with ten servers a version that are cold for 3 s: versions of which a quarter to a half of the calls are slow, fail, fail on one route, late, or under load; calm, with entries that restart one after the other, and with disturbed old servers. Outcomes are observed when calls end. It checks what a bad version gets until its deadline, and that a good one is done in time. The rows of TestTable are as they were.

--- a/promoter/simulation_test.go
+++ b/promoter/simulation_test.go
@@ -25,6 +25,8 @@
 	simAllowed   = 300 * time.Second
 	simCeiling   = 0.05
 	simLossRate  = 0.1 // share of lost messages, in each direction
+	warmCalls    = 1000
+	pushDelay    = 2 * tickInterval // from a decision until it is in force on the entries
 )
 
 type simServer struct {
@@ -33,6 +35,7 @@
 	served         int
 	disturbedUntil time.Duration
 	util           float64
+	running        int
 }
 
 func (s *simServer) usableSlots() int { return min(1+s.served/8, simSlots) }
@@ -59,9 +62,25 @@
 	// once the new version has been warm.
 	visibleCalls map[time.Duration]int
 	newCalls     map[time.Duration]int // all calls of the new version, per second
-	res          result
+	// newCallsInTime counts the calls of the new version until the deadline.
+	newCallsInTime int
+	// running holds the calls whose outcome is not known yet.
+	running   []runningCall
+	decidedAt time.Duration
+	res       result
 }
 
+// runningCall is a call that ends later.
+type runningCall struct {
+	endsAt         time.Duration
+	entry          *Collector
+	server         *simServer
+	version, route string
+	outcome        sycamorevane.Outcome
+}
+
+func (r runningCall) end() { r.entry.Observe("flagboard", r.version, r.route, r.outcome) }
+
 type result struct {
 	phase         sycamorevane.RolloutPhase
 	reason        string
@@ -86,6 +105,9 @@
 	minVisibleShare float64 // least share of the new version's calls within 10 s that must be affected, too
 	startupTime     time.Duration
 	allowed         time.Duration // simAllowed when zero
+	ceiling         float64       // simCeiling when zero
+	delayed         bool          // outcomes are observed when the calls end
+	coldTime        time.Duration // servers are warm so long after their start, or after some calls when zero
 	traffic         traffic       // defaultTraffic when zero
 }
 
@@ -218,13 +240,16 @@
 	if w.allowed == 0 {
 		w.allowed = simAllowed
 	}
+	if w.ceiling == 0 {
+		w.ceiling = simCeiling
+	}
 	if w.traffic.callsPerTick == 0 {
 		w.traffic = defaultTraffic
 	}
 	s := &sim{rand: rand.New(rand.NewPCG(seed, 1)), row: w, epoch: time.Unix(1e9, 0), core: NewCore(), drained: -1, visibleCalls: map[time.Duration]int{}, newCalls: map[time.Duration]int{}}
 	for side := range s.servers {
 		for i := range w.traffic.servers {
-			v := &simServer{dc: i % 3, served: 1000}
+			v := &simServer{dc: i % 3, served: warmCalls}
 			if side == 1 {
 				v.served = 0
 				v.upAt = w.startupTime + time.Duration(i)*w.startupTime/4
@@ -257,10 +282,12 @@
 			s.row.event(s)
 		}
 		s.sendCalls()
+		s.endCalls()
 		s.exchange()
 		if s.now%time.Second == 0 {
 			s.decide()
-		} else if s.rollout != s.pushed && s.now%time.Second == 2*tickInterval {
+		}
+		if s.rollout != s.pushed && s.now >= s.decidedAt+pushDelay {
 			s.push()
 		}
 		s.recordResult()
@@ -335,6 +362,9 @@
 	for _, side := range usable {
 		for _, v := range side {
 			v.util *= 0.8
+			if s.row.coldTime > 0 && s.now >= v.upAt+s.row.coldTime {
+				v.served = max(v.served, warmCalls)
+			}
 			if s.rand.Float64() < tickInterval.Seconds()/120 {
 				v.disturbedUntil = s.now + time.Duration(s.rand.ExpFloat64()*s.row.traffic.disturbanceSeconds*float64(time.Second))
 			}
@@ -407,8 +437,31 @@
 		srv.served++
 	}
 	srv.util += 0.2 * ms / 1000 / tickInterval.Seconds() / simSlots * s.row.traffic.slotUse
-	c.Observe("flagboard", strconv.Itoa(side+1), route, sycamorevane.Outcome{
-		Kind: kind, Latency: time.Duration(ms * float64(time.Millisecond)), Route: route,
+	if side == 1 && s.now < s.row.allowed {
+		s.newCallsInTime++
+	}
+	latency := time.Duration(ms * float64(time.Millisecond))
+	r := runningCall{s.now, c, srv, strconv.Itoa(side + 1), route, sycamorevane.Outcome{
+		Kind: kind, Latency: latency, Route: route,
+	}}
+	if !s.row.delayed {
+		r.end()
+		return
+	}
+	r.endsAt += latency
+	srv.running++
+	s.running = append(s.running, r)
+}
+
+// endCalls observes the outcomes of the calls that have ended.
+func (s *sim) endCalls() {
+	s.running = slices.DeleteFunc(s.running, func(r runningCall) bool {
+		if r.endsAt > s.now {
+			return false
+		}
+		r.end()
+		r.server.running--
+		return true
 	})
 }
 
@@ -444,14 +497,17 @@
 
 func (s *sim) decide() {
 	before := s.rollout
-	steps := s.core.Step(Input{
+	step, ok := s.core.Step(Input{
 		Now: s.Now(), Rollouts: map[string]sycamorevane.Rollout{"flagboard": s.rollout},
-		Ceilings: map[string]float64{"flagboard": simCeiling},
+		Ceilings: map[string]float64{"flagboard": s.row.ceiling},
 		Capacity: map[string]Capacity{"flagboard": {Old: s.capacity(0), New: s.capacity(1)}},
-	})
-	if step, ok := steps["flagboard"]; ok {
+	})["flagboard"]
+	if ok {
 		s.rollout, _ = step.Apply(s.rollout, s.Now())
 	}
+	if s.rollout != before {
+		s.decidedAt = s.now
+	}
 	if os.Getenv("PROMOTER_TRACE") != "" && s.rollout != before {
 		e, _ := s.core.Evidence("flagboard")
 		fmt.Printf("%6.1f %-9s %.2f late=%v %s [%.3g %s]\n", s.now.Seconds(), s.rollout.Phase, s.rollout.Share, s.rollout.DeadlineAtRisk, s.rollout.Reason, e.Strongest, e.Description)
