A version that is slow on a part of its calls is not accepted

Cause: acceptance compared the odds of calls beyond the old version's 75% quantile, and ruled out three times, later six times these odds. A quarter of slow calls raises them by 2, a half by 4. Besides, a disturbance of the old version excused the new one: for its time by the rates of the same window, and for half a minute after it by the latency that was remembered as usual. Change: acceptance also rules out that 15, later 20 percentage points more calls are in the old version's tail. It draws no conclusion from windows in which the old version is in its own tail, and these add no more than their usual share to the reference. Good calls of the past count for a bounded number of calls, and each step after the trial needs the weak criterion anew.

--- a/promoter/comparison.go
+++ b/promoter/comparison.go
@@ -38,6 +38,8 @@
 	// logBeta is the log of the probability of accepting a version as good although its rates are as bad as the
 	// criteria below: 1%.
 	logBeta = -4.6
+	// minAcceptance bounds what good calls of the past count for.
+	minAcceptance = 3 * logBeta
 	// minErrorRate is the assumed error rate of an old version without errors. It is above zero since a rate is only
 	// known to the precision that the number of calls allows.
 	minErrorRate = 0.002
@@ -55,6 +57,14 @@
 	peakDecay = 0.995
 	// minReferenceCalls is the smallest number of reference calls for a latency comparison.
 	minReferenceCalls = 40
+	// expectedRateMargin is added to the expected rates of slow calls, which are known only roughly.
+	expectedRateMargin = 0.02
+	// maxReferenceTail is the share of a window's calls by which the tail of the reference grows at most, so that a
+	// disturbance of the old version is not remembered as its usual latency.
+	maxReferenceTail = 0.06
+	// maxAcceptanceTail is the share of the old version's calls in its own tail from which a window does not show that the
+	// new version is good.
+	maxAcceptanceTail = 0.12
 )
 
 // slowQuantiles are the quantiles of the old version beyond which a call counts as slow: two for a shift of many
@@ -68,13 +78,14 @@
 	tailQuantile       = 2
 )
 
-// criterion defines what the acceptance of a version rules out: an error rate increased by errorIncrease, and odds of
-// slow calls that are slowOdds times those of the old version.
-type criterion struct{ errorIncrease, slowOdds float64 }
+// criterion defines what the acceptance of a version rules out: an error rate increased by errorIncrease, odds of slow
+// calls that are slowOdds times those of the old version, and a share of calls in the tail increased by tailIncrease. A
+// version that is slow on a part of its calls only may keep the odds.
+type criterion struct{ errorIncrease, slowOdds, tailIncrease float64 }
 
-// criteria are ordered from strong to weak. The strong one takes about 92 good calls, the weak one 20. Each route has
+// criteria are ordered from strong to weak. The strong one takes about 92 good calls, the weak one 35. Each route has
 // to meet the last one.
-var criteria = [...]criterion{{0.05, 3}, {0.2, 6}, {0.5, 6}}
+var criteria = [...]criterion{{0.05, 3, 0.15}, {0.2, 6, 0.2}, {0.5, 6, 0.5}}
 
 const (
 	strongCriterion = iota
@@ -82,6 +93,12 @@
 	routeCriterion
 )
 
+// acceptanceCalls is the expected number of good calls until the criterion is met.
+func (c criterion) acceptanceCalls() float64 {
+	tail := 1 - slowQuantiles[tailQuantile] + expectedRateMargin
+	return -logBeta / min(c.errorIncrease, -logLikelihoodRatio(1, tail, tail, tail+c.tailIncrease))
+}
+
 // binBounds holds the lowest and highest latency of each histogram index, in latencyUnit.
 type binBounds struct{ low, high []float64 }
 
@@ -130,6 +147,11 @@
 // window, so that a version that turns bad late is not excused by its good past.
 func accumulate(evidence, ratio float64) float64 { return max(evidence, 1) * ratio }
 
+// accept adds k of n calls to an acceptance, the log likelihood ratio of rate p1 to rate p0 within its bounds.
+func accept(acceptance, n, k, p0, p1 float64) float64 {
+	return min(max(acceptance+logLikelihoodRatio(n, k, p0, p1), minAcceptance), 0)
+}
+
 // comparison compares the new with the old version in one group of calls.
 type comparison struct {
 	// errorEvidence, shiftEvidence and tailEvidence are the evidence that the new version is worse: by its errors, by
@@ -137,9 +159,11 @@
 	errorEvidence float64
 	shiftEvidence float64
 	tailEvidence  float64
-	// errorAcceptance and slowAcceptance are log likelihood ratios by criterion, which is met at logBeta or below.
+	// errorAcceptance, slowAcceptance and tailAcceptance are log likelihood ratios by criterion, which is met at logBeta
+	// or below.
 	errorAcceptance [len(criteria)]float64
 	slowAcceptance  [len(criteria)]float64
+	tailAcceptance  [len(criteria)]float64
 	// recent is the decayed latency histogram of the old version, baseline its histogram at full load.
 	recent   []float64
 	baseline []float64
@@ -199,7 +223,7 @@
 		likelihoodRatio(n, k, p0, max(0.6, scaleOdds(p0, 16)))) / 3
 	c.errorEvidence = accumulate(c.errorEvidence, min(ratio, maxErrorRatio))
 	for i, crit := range criteria {
-		c.errorAcceptance[i] = min(c.errorAcceptance[i]+math.Log(likelihoodRatio(n, k, p0, min(p0+crit.errorIncrease, 0.95))), 0)
+		c.errorAcceptance[i] = accept(c.errorAcceptance[i], n, k, p0, min(p0+crit.errorIncrease, 0.95))
 	}
 }
 
@@ -218,9 +242,14 @@
 	ratio := (likelihoodRatio(slow.total, k, p0, scaleOdds(p0, slowerOdds)) +
 		likelihoodRatio(slow.total, k, p0, scaleOdds(p0, muchSlowerOdds))) / 2
 	c.tailEvidence = accumulate(c.tailEvidence, min(ratio, maxTailRatio))
+	if c.tailShare(counts) >= maxAcceptanceTail {
+		return // A slow old version would excuse a slow new one.
+	}
 	for i, crit := range criteria {
 		k, p0 := slow.over[acceptanceQuantile], slow.expectedRate[acceptanceQuantile]
-		c.slowAcceptance[i] = min(c.slowAcceptance[i]+math.Log(likelihoodRatio(slow.total, k, p0, scaleOdds(p0, crit.slowOdds))), 0)
+		c.slowAcceptance[i] = accept(c.slowAcceptance[i], slow.total, k, p0, scaleOdds(p0, crit.slowOdds))
+		k, p0 = slow.over[tailQuantile], slow.expectedRate[tailQuantile]
+		c.tailAcceptance[i] = accept(c.tailAcceptance[i], slow.total, k, p0, min(p0+crit.tailIncrease, 0.95))
 	}
 }
 
@@ -245,7 +274,7 @@
 			threshold = max(threshold, quantile(c.baseline, q))
 		}
 		oldSlow := countAbove(counts.bins[0], threshold)
-		p0 := max((oldSlow+priorCalls*(1-q))/(n0+priorCalls), (1-q)*0.8) + 0.02
+		p0 := max((oldSlow+priorCalls*(1-q))/(n0+priorCalls), (1-q)*0.8) + expectedRateMargin
 		if n0 >= minReferenceCalls {
 			c.peakSlowShare[i] = max(c.peakSlowShare[i]*peakDecay, oldSlow/n0)
 		}
@@ -288,7 +317,12 @@
 	}
 	c.errorsAndCalls[0] = c.errorsAndCalls[0]*referenceDecay + counts.bad[0]
 	c.errorsAndCalls[1] = c.errorsAndCalls[1]*referenceDecay + counts.calls[0]
+	tailStart, tailWeight := c.tailThreshold(), maxReferenceTail/max(c.tailShare(counts), maxReferenceTail)
+	b := latencyBinBounds()
 	for i, n := range counts.bins[0] {
+		if b.low[i] >= tailStart {
+			n *= tailWeight
+		}
 		c.recent[i] = c.recent[i]*referenceDecay + n
 		if cond.fullLoad {
 			c.baseline[i] = c.baseline[i]*referenceDecay + n
@@ -296,6 +330,20 @@
 	}
 }
 
+// tailThreshold is the latency from which a call of the old version is in the tail of its own reference.
+func (c *comparison) tailThreshold() float64 {
+	return quantile(c.recent, slowQuantiles[tailQuantile]) * latencyTolerance
+}
+
+// tailShare is the share of the old version's calls in the tail of its own reference; zero without a reference.
+func (c *comparison) tailShare(counts *callCounts) float64 {
+	n := sum(counts.bins[0])
+	if n == 0 || sum(c.recent) < minReferenceCalls {
+		return 0
+	}
+	return countAbove(counts.bins[0], c.tailThreshold()) / n
+}
+
 func (c *comparison) errorRate() float64 {
 	if c.errorsAndCalls[1] == 0 {
 		return minErrorRate
@@ -320,12 +368,16 @@
 	if sum(c.recent) < minReferenceCalls/2 {
 		return c.errorAcceptance[i]
 	}
-	return max(c.errorAcceptance[i], c.slowAcceptance[i])
+	return max(c.errorAcceptance[i], c.slowAcceptance[i], c.tailAcceptance[i])
 }
 
 // likelihoodRatio is the likelihood ratio of rate p1 to rate p0 for k of n calls.
 func likelihoodRatio(n, k, p0, p1 float64) float64 {
-	return math.Exp(k*math.Log(p1/p0) + (n-k)*math.Log((1-p1)/(1-p0)))
+	return math.Exp(logLikelihoodRatio(n, k, p0, p1))
+}
+
+func logLikelihoodRatio(n, k, p0, p1 float64) float64 {
+	return k*math.Log(p1/p0) + (n-k)*math.Log((1-p1)/(1-p0))
 }
 
 // scaleOdds returns the rate whose odds are those of p times factor.
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -177,7 +177,7 @@
 		return 0
 	}
 	initial := max(reducedCalls/(rate*min(initialShare, ceiling)), reducedWindows)
-	acceptance := (-logBeta / criteria[weakCriterion].errorIncrease) / (rate * ceiling)
+	acceptance := criteria[weakCriterion].acceptanceCalls() / (rate * ceiling)
 	steps := float64(len(shortShareLevels)+1) * (shortStepTime + commitDelay).Seconds()
 	return time.Duration((initial + acceptance + steps + commitDelay.Seconds()) / 0.8 * float64(time.Second))
 }
@@ -684,6 +684,10 @@
 	if !e.stepTimeElapsed(now, r) || e.callsAtShare < minStepCalls {
 		return s
 	}
+	if !e.all.meets(weakCriterion) {
+		s.Reason = "held: not shown to be good at this share"
+		return s
+	}
 	if r.Share < shareLevels[len(shareLevels)-1] {
 		s.Share = e.nextShare(now, r)
 		s.Reason = "evidence is good"
@@ -818,7 +822,7 @@
 		return remaining
 	}
 	rate := max(e.callsAtShare, 0.5) / sinceChange.Seconds() / r.Share
-	calls := max(-logBeta/criteria[weakCriterion].errorIncrease-e.all.newCalls, 0)
+	calls := max(criteria[weakCriterion].acceptanceCalls()-e.all.newCalls, 0)
 	return remaining + time.Duration(calls/(rate*ceiling)*float64(time.Second))
 }
 
