The latency of cold servers does not count as their version's

What callers saw: a good version of a service with servers that start cold was rolled back, mostly 4 to 5 s after the order. Cause: the leader leaves latency out while most servers of a new version are cold, by the capacity at the time of the decision. Calls that began on cold servers end later, and are reported up to some seconds later, when the servers count as warm. Change: the grant and the outcome say whether the server was cold as the request was placed; the entry counts such a call without its latency. TestColdCallsAreNotSlow and TestGrantTellsThatTheServerIsCold did not compile before, the fields being new.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -442,9 +442,10 @@
 func (d *Dispatcher) grant(v *view, route string, got choice) sycamorevane.Grant {
 	d.countRequest(got.server)
 	srv := withMaxConns(got.server.record.Server, v.state.Config.Service(got.server.record.Server.Service))
+	cold := isCold(v, got.server, v.state.Config.Service(srv.Service))
 	id := d.core.startRequest(v.now, got.server)
 	d.reportStart(v.now, route, got.server, id)
-	return sycamorevane.Grant{ID: id, Server: srv, Trial: got.trial}
+	return sycamorevane.Grant{ID: id, Server: srv, Trial: got.trial, Cold: cold}
 }
 
 // withMaxConns applies the configured limit of connections, which servers of some deployments do not announce.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -744,3 +744,17 @@
 	d.HandleProbeResult(time.Now(), "x", ProbeResult{Answered: true, AddressReused: true, ColdRemaining: -1})
 	require.True(t, d.core.byID["x"].addressReused)
 }
+
+// Guards against the latency of a cold server that is taken for that of its version.
+func TestGrantTellsThatTheServerIsCold(t *testing.T) {
+	for name, coldFor := range map[string]time.Duration{"cold": time.Hour, "warm": 0} {
+		t.Run(name, func(t *testing.T) {
+			record := newRecord("x", "a", "v1")
+			record.ReportedAt = time.Now()
+			record.ColdUntil = record.ReportedAt.Add(coldFor)
+			g, err := newTestDispatcher(newState(), record).Acquire(context.Background(), sycamorevane.Request{Service: "s", Deadline: time.Now().Add(time.Second)})
+			require.NoError(t, err)
+			require.Equal(t, coldFor > 0, g.Cold)
+		})
+	}
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -706,7 +706,7 @@
 	c := a.c
 	o := sycamorevane.Outcome{
 		Kind: kind, Latency: a.latency, Route: c.route.Name, Fingerprint: c.fingerprint, Load: a.load,
-		AddressReused: a.addressReused,
+		AddressReused: a.addressReused, Cold: a.grant.Cold,
 	}
 	c.f.cfg.Limiter.Release(a.grant, o)
 	c.f.cfg.Observe(c.svc.Name, a.grant.Server.Version, c.route.Name, o)
--- a/promoter/collector.go
+++ b/promoter/collector.go
@@ -163,8 +163,8 @@
 	cell.mu.Lock()
 	cell.counts[o.Kind]++
 	// A cancelled call would have taken at least this long. Leaving it out would hide a version so slow that callers
-	// give up.
-	if o.Kind == sycamorevane.OutcomeOK || o.Kind == sycamorevane.OutcomeCancelled {
+	// give up. The latency of a cold server says nothing about its version.
+	if !o.Cold && (o.Kind == sycamorevane.OutcomeOK || o.Kind == sycamorevane.OutcomeCancelled) {
 		_ = cell.latency.RecordValue(max(v, 0))
 	}
 	cell.mu.Unlock()
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -121,6 +121,23 @@
 	})
 }
 
+// TestColdCallsAreNotSlow guards against a good version that is reverted for calls that began on cold servers and end when
+// the servers are warm.
+func TestColdCallsAreNotSlow(t *testing.T) {
+	for name, tc := range map[string]struct {
+		cold bool
+		want int
+	}{"cold": {true, 0}, "warm": {false, 1}} {
+		t.Run(name, func(t *testing.T) {
+			c, _ := newTestCollector()
+			c.Observe("flagboard", "2", "read", sycamorevane.Outcome{Latency: time.Second, Cold: tc.cold})
+			cell := c.Summary().Windows[0].Moves[0].Cells[0]
+			require.Equal(t, uint32(1), cell.Counts[sycamorevane.OutcomeOK], "the call counts as answered")
+			require.Len(t, cell.Bins, 2*tc.want)
+		})
+	}
+}
+
 // TestCollectorScope guards against costs and messages for services without a rollout.
 func TestCollectorScope(t *testing.T) {
 	cases := map[string]struct {
--- a/promoter/simulation_test.go
+++ b/promoter/simulation_test.go
@@ -442,7 +442,7 @@
 	}
 	latency := time.Duration(ms * float64(time.Millisecond))
 	r := runningCall{s.now, c, srv, strconv.Itoa(side + 1), route, sycamorevane.Outcome{
-		Kind: kind, Latency: latency, Route: route,
+		Kind: kind, Latency: latency, Route: route, Cold: s.row.coldTime > 0 && !srv.warm(),
 	}}
 	if !s.row.delayed {
 		r.end()
--- a/types.go
+++ b/types.go
@@ -91,6 +91,8 @@
 	ExpiresAt time.Time
 	// Trial is set when the server runs a version under rollout that has not been accepted yet.
 	Trial bool
+	// Cold is set when the server was in its cold start.
+	Cold bool
 	// Scheduler is the host that has chosen the server; empty when the entry has chosen it itself.
 	Scheduler string
 }
@@ -135,6 +137,8 @@
 	Load *LoadReport
 	// AddressReused is set when another server now listens on the address.
 	AddressReused bool
+	// Cold is set when the server was in its cold start as the attempt began.
+	Cold bool
 }
 
 // ServerDirective is what a server requests in the header of a response.
