A rollout leaves room for a version that turns bad, and is stopped at once

Cause: nothing held the number of requests that a new version may still get. Shares followed time and evidence: 0.08, 0.3, and then 0.9, at which a second takes more than half of what may be got in a rollout of 16 s. Failures took up to two seconds to a decision: the window of the entry, the interval of the leader, and two windows, since one alone is bounded. Change: the leader estimates the calls that the version has got, counted or by the share, also what a former leader has seen, and those that are left of the deployment's limit (`trialshare`, new: `trialslack`). A step leaves what the last share takes in 0.8 s; shares below 0.2 after the trial are skipped, and the others last no longer than they must. When nothing is left, weaker evidence reverts. An entry with two failures in its window reports within 0.1 s; the leader acts on reports of failures at once, by a ratio test over the answers of each route that good answers of the past do not excuse. TestFailuresBetweenDecisions and the others in failures_test.go do not compile on the code before.

--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 	BENCH=1 $(GO) test -timeout 120s -count 1 -v -run TestOpenTargets ./simulator
 
 bench-promoter:
-	PROMOTER_SEEDS=100 $(GO) test -timeout 600s -count 1 -run TestTable -bench 'Observe|Summary' -benchtime 200ms -v ./promoter
+	PROMOTER_SEEDS=100 $(GO) test -timeout 600s -count 1 -run "TestTable|TestExposure" -bench 'Observe|Summary' -benchtime 200ms -v ./promoter
 
 bench-forwarder:
 	$(GO) test -timeout 120s -run '^$$' -bench 'Call' -benchtime 3000x ./forwarder
--- a/parser/discovery.go
+++ b/parser/discovery.go
@@ -95,9 +95,11 @@
 	// defaultColdFactor and 0 if not set.
 	ColdFactor float64
 	ColdSlack  float64
-	// MaxTrialShare is the largest fraction of a service's requests that a bad version may receive; defaultMaxTrialShare
-	// if not set.
+	// MaxTrialShare and TrialSlack limit the requests that a bad version may receive until the deadline of its rollout:
+	// MaxTrialShare as a fraction of the service's requests in that time, plus TrialSlack requests; defaultMaxTrialShare and
+	// 0 if not set.
 	MaxTrialShare float64
+	TrialSlack    float64
 	// LostHosts is the number of control hosts that may be lost at the same time, with their disks; defaultLostHosts if not
 	// set.
 	LostHosts int
@@ -238,6 +240,7 @@
 		{"coldfactor", false, nonNegativeParser(&b.ColdFactor)},
 		{"coldslack", false, nonNegativeParser(&b.ColdSlack)},
 		{"trialshare", false, nonNegativeParser(&b.MaxTrialShare)},
+		{"trialslack", false, nonNegativeParser(&b.TrialSlack)},
 		{"losses", false, integerParser(&b.LostHosts, 0, maxLostHosts)},
 		{"usagewindow", false, usageWindowParser(&b.ReportWindow)},
 		{"usagelate", false, secondsParser(&b.UsageLate)},
--- a/parser/discovery_test.go
+++ b/parser/discovery_test.go
@@ -38,6 +38,7 @@
 coldfactor = 1.5
 coldslack = 5
 trialshare = 0.1
+trialslack = 50
 `
 
 func TestOpenSettings(t *testing.T) {
@@ -49,6 +50,8 @@
 	require.Equal(t, 2, s.Bounds.LostHosts)
 	require.Equal(t, 6*time.Second, s.Bounds.GracePeriod)
 	require.Equal(t, 2500*time.Millisecond, s.Bounds.DrainTime)
+	require.InDelta(t, 0.1, s.Bounds.MaxTrialShare, 0)
+	require.InDelta(t, 50, s.Bounds.TrialSlack, 0)
 	require.True(t, s.FirstStart)
 	require.Nil(t, s.Entry)
 	require.Equal(t, "/data/control", s.Control.DataDir)
--- a/promoter/collector.go
+++ b/promoter/collector.go
@@ -27,8 +27,11 @@
 	otherRoutes = "(other)"
 	// maxPending bounds the unacknowledged windows. When it is reached the current window stays open, so that
 	// evidence is delayed but not lost.
-	maxPending   = 8
-	outcomeKinds = int(sycamorevane.OutcomeCancelled) + 1
+	maxPending = 8
+	// alarmFailures is the number of failures of a new version, since the last window was closed, that the control leader
+	// is told of at once.
+	alarmFailures = 2
+	outcomeKinds  = int(sycamorevane.OutcomeCancelled) + 1
 )
 
 func newHistogram() *hdr.Histogram {
@@ -41,6 +44,7 @@
 	clock       sycamorevane.Clock
 	incarnation uint64
 	collectors  atomic.Pointer[map[string]*rolloutCollector]
+	alarm       chan struct{}
 
 	mu       sync.Mutex
 	sequence uint64
@@ -52,6 +56,8 @@
 	id                     string
 	fromVersion, toVersion string
 	guard                  Guard
+	// failures counts the failures of the new version in the current window.
+	failures atomic.Int32
 	// doneAt is when the rollout was first seen as done; zero before.
 	doneAt      time.Time
 	watchPeriod time.Duration
@@ -68,7 +74,7 @@
 
 // NewCollector returns a Collector without rollouts.
 func NewCollector(clock sycamorevane.Clock) *Collector {
-	c := &Collector{clock: clock, incarnation: rand.Uint64() | 1}
+	c := &Collector{clock: clock, incarnation: rand.Uint64() | 1, alarm: make(chan struct{}, 1)}
 	c.collectors.Store(&map[string]*rolloutCollector{})
 	return c
 }
@@ -130,6 +136,9 @@
 		return
 	}
 	rc.guard.observe(c.clock, side == 1, o.Kind)
+	if side == 1 && o.Kind == sycamorevane.OutcomeFailed && rc.failures.Add(1) == alarmFailures {
+		c.raiseAlarm()
+	}
 	cell := (*rc.cells[side].Load())[route]
 	if cell == nil {
 		cell = rc.addCell(side, route)
@@ -137,6 +146,17 @@
 	cell.observe(o)
 }
 
+// raiseAlarm asks for a report of the current window, unless one is due already.
+func (c *Collector) raiseAlarm() {
+	select {
+	case c.alarm <- struct{}{}:
+	default:
+	}
+}
+
+// Alarm signals that the control leader should be told of the current window at once.
+func (c *Collector) Alarm() <-chan struct{} { return c.alarm }
+
 // addCell replaces the map of cells by a copy with the new cell, since readers use the map without a lock.
 func (rc *rolloutCollector) addCell(side int, route string) *routeCell {
 	rc.mu.Lock()
@@ -210,6 +230,7 @@
 	now := c.clock.Now()
 	var moves []*encoder.EvidenceMove
 	for service, rc := range *c.collectors.Load() {
+		rc.failures.Store(0)
 		move := &encoder.EvidenceMove{Service: service, Rollout: rc.id, Blocked: rc.guard.Blocked(now)}
 		for side := range rc.cells {
 			for route, cell := range *rc.cells[side].Load() {
--- a/promoter/comparison.go
+++ b/promoter/comparison.go
@@ -33,6 +33,8 @@
 	// holdThreshold is the evidence that stops the share from growing. It takes more than one failed call of a rare
 	// route, which alone gives about 100 and decays slowly.
 	holdThreshold = 200
+	// spentThreshold is the evidence that reverts a rollout whose new version has got all calls that a bad version may get.
+	spentThreshold = 1e4
 	// initialHoldThreshold keeps the share of the first calls. While there are few, a single failed call reaches it.
 	initialHoldThreshold = 20
 	// logBeta is the log of the probability of accepting a version as good although its rates are as bad as the
@@ -212,7 +214,7 @@
 	if n == 0 {
 		return
 	}
-	p0 := (counts.bad[0] + priorCalls*c.errorRate()) / (counts.calls[0] + priorCalls)
+	p0 := smoothedRate(counts.bad[0], counts.calls[0], c.errorRate())
 	// A window without errors of the old version is often chance, so its rate over many windows is considered, too.
 	p0 = min(max(p0, c.errorRate(), minErrorRate), 0.9)
 	if unpaired {
@@ -253,6 +255,11 @@
 	}
 }
 
+// smoothedRate is the rate of n of all calls, with priorCalls at the usual rate.
+func smoothedRate(n, calls, usual float64) float64 {
+	return (n + priorCalls*usual) / (calls + priorCalls)
+}
+
 // slowCalls counts the new version's calls of a window that were slower than the old version's quantiles (over), and
 // holds the rates expected of a version that is not worse.
 type slowCalls struct {
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -79,13 +79,9 @@
 	// waitingAtRiskFraction is the fraction of the allowed time after which the deadline of a rollout that still
 	// waits for servers is at risk.
 	waitingAtRiskFraction = 0.25
-	// A rollout is reverted without a statistical test when the new version has given at least obviousFailures
-	// failures, at a rate of at least obviousFailureRate and of at least obviousFailureRatio times the old version's
-	// rate. A good version with the same rate of 1% has 12 failures in 120 answers by chance in less than one of 10^8
-	// rollouts.
-	obviousFailures     = 12
-	obviousFailureRate  = 0.1
-	obviousFailureRatio = 3
+	// maxUnacceptedSteps is the number of decisions in a row for which a version that has got the calls that a bad version
+	// may get can do without meeting the weak criterion.
+	maxUnacceptedSteps = 2
 	// maxEntryReportAge is the number of decisions for which an entry's last report counts.
 	maxEntryReportAge = 4
 	// baselineShare is the smallest share of the old version at which its latency counts as the baseline for full
@@ -129,6 +125,8 @@
 	// Capacity is by service. While an entry is missing, nothing is known about the servers and the share does not
 	// change.
 	Capacity map[string]Capacity
+	// Exposure applies to each rollout; zero for no limit.
+	Exposure ExposureLimit
 }
 
 // Step is one decision. It replaces phase, share, reason and deadline risk of the rollout.
@@ -220,17 +218,23 @@
 	// okCalls counts the calls of the new version that were not shed, shedCalls the shed ones, both decayed.
 	okCalls, shedCalls float64
 	anyAnswered        bool
-	// answers counts complete answers and failures the failed ones among them, since the start, by side.
-	answers, failures [2]float64
+	// answers counts the answers since the start.
+	answers answerCounts
+	// score and routeScores are the failure scores of all calls and by route.
+	score       float64
+	routeScores map[string]float64
+	exposure    exposure
 	// coldTime is how long most servers of the new version have been cold.
 	coldTime    time.Duration
 	isColdStart bool
 	// startedLate is set when the trial has lasted beyond lateStartFraction of the allowed time.
-	startedLate         bool
-	warmedUp            bool
-	lastDecision        time.Time
-	noServersSince      time.Time
-	serverLosses        int
+	startedLate    bool
+	warmedUp       bool
+	lastDecision   time.Time
+	noServersSince time.Time
+	serverLosses   int
+	// unacceptedSteps is the number of decisions in a row without the weak criterion.
+	unacceptedSteps     int
 	windowsWithoutCalls int
 	// entries holds the entries that have reported recently.
 	entries map[string]entryReport
@@ -286,31 +290,6 @@
 	}
 }
 
-// countAnswers counts what the servers themselves answered, without calls that a full or lost server has not
-// processed.
-func (e *evaluation) countAnswers(cell *encoder.EvidenceCell) {
-	side := sideOf(cell)
-	for k, n := range cell.GetCounts() {
-		switch sycamorevane.OutcomeKind(k) {
-		case sycamorevane.OutcomeFailed:
-			e.failures[side] += float64(n)
-			e.answers[side] += float64(n)
-		case sycamorevane.OutcomeOK:
-			e.answers[side] += float64(n)
-		}
-	}
-}
-
-// obviouslyBad reports whether so many answers of the new version are failures that no statistical test is needed.
-// The comparison of all outcomes can be blurred by timeouts on both sides while servers are full.
-func (e *evaluation) obviouslyBad() bool {
-	if e.failures[1] < obviousFailures || e.answers[1] == 0 {
-		return false
-	}
-	rate := e.failures[1] / e.answers[1]
-	return rate >= obviousFailureRate && rate*e.answers[0] >= obviousFailureRatio*e.failures[0]
-}
-
 // sideOf is 1 for counts of the new version and 0 for counts of the old version.
 func sideOf(cell *encoder.EvidenceCell) int {
 	if cell.GetTo() {
@@ -350,6 +329,7 @@
 		if !ok || ceiling <= 0 {
 			ceiling = 0.05
 		}
+		e.exposure.limit = in.Exposure
 		s := e.step(in.Now, r, capacity, known, ceiling)
 		if s.Phase != r.Phase || s.Share != r.Share || s.Reason != r.Reason || s.DeadlineAtRisk != r.DeadlineAtRisk {
 			steps[service] = s
@@ -366,18 +346,28 @@
 func newEvaluation(id string) *evaluation {
 	return &evaluation{
 		id: id, window: make(map[string]*callCounts), routes: make(map[string]*comparison),
-		entries: make(map[string]entryReport),
-		all:     newComparison(), rare: newComparison(),
+		routeScores: make(map[string]float64),
+		entries:     make(map[string]entryReport),
+		all:         newComparison(), rare: newComparison(),
+	}
+}
+
+// unchanged is the step that leaves the rollout as it is.
+func unchanged(r sycamorevane.Rollout) Step {
+	return Step{
+		ID: r.ID, FromPhase: r.Phase, Phase: r.Phase, FromShare: r.Share, Share: r.Share, Reason: r.Reason,
+		DeadlineAtRisk: r.DeadlineAtRisk,
 	}
 }
 
 // step makes one decision on the rollout.
 func (e *evaluation) step(now time.Time, r sycamorevane.Rollout, capacity Capacity, known bool, ceiling float64) Step {
+	e.recordExposure(now, r, ceiling)
 	e.recordChange(now, r)
 	e.expireEntries()
 	e.updateColdStart(now, r, capacity, known)
 	e.compareWindow(r, capacity)
-	s := Step{ID: r.ID, FromPhase: r.Phase, Phase: r.Phase, FromShare: r.Share, Share: r.Share, Reason: r.Reason, DeadlineAtRisk: r.DeadlineAtRisk}
+	s := unchanged(r)
 	switch r.Phase {
 	case sycamorevane.RolloutReverted:
 		return s
@@ -393,8 +383,8 @@
 	if reason, bad := e.revertReason(); bad {
 		return revert(s, reason)
 	}
-	if e.obviouslyBad() {
-		return revert(s, "new version answers "+percent(e.failures[1]/e.answers[1])+" of its calls with failures")
+	if reason, bad := e.obviousFailure(); bad {
+		return revert(s, reason)
 	}
 	if now.UnixMilli() >= r.Deadline {
 		return revert(s, "deadline passed at share "+percent(r.Share))
@@ -619,7 +609,7 @@
 		s = e.decideMoving(now, r, s)
 	case sycamorevane.RolloutDone, sycamorevane.RolloutReverting, sycamorevane.RolloutReverted:
 	}
-	return e.limitByCapacity(r, capacity, ceiling, s)
+	return e.limitByCapacity(r, capacity, ceiling, e.exposure.limitStep(r, s))
 }
 
 // handleMissingServers handles a version without servers: its share is zero until the servers are back, and a version
@@ -677,7 +667,11 @@
 }
 
 func (e *evaluation) decideMoving(now time.Time, r sycamorevane.Rollout, s Step) Step {
-	if evidence, _ := e.strongestEvidence(); evidence >= holdThreshold {
+	evidence, reason := e.strongestEvidence()
+	if evidence >= spentThreshold && e.exposure.spent(r) {
+		return revert(s, reason+spentReason)
+	}
+	if evidence >= holdThreshold {
 		s.Reason = "held: evidence against the new version"
 		return s
 	}
@@ -685,9 +679,9 @@
 		return s
 	}
 	if !e.all.meets(weakCriterion) {
-		s.Reason = "held: not shown to be good at this share"
-		return s
+		return e.holdUnaccepted(r, s)
 	}
+	e.unacceptedSteps = 0
 	if r.Share < shareLevels[len(shareLevels)-1] {
 		s.Share = e.nextShare(now, r)
 		s.Reason = "evidence is good"
@@ -702,8 +696,23 @@
 	return s
 }
 
-// stepTimeElapsed reports whether the current share has lasted for its part of the planned time.
+// holdUnaccepted keeps the share while the version is not shown to be good at it, for as long as a bad version may get
+// calls.
+func (e *evaluation) holdUnaccepted(r sycamorevane.Rollout, s Step) Step {
+	e.unacceptedSteps++
+	if e.unacceptedSteps >= maxUnacceptedSteps && e.exposure.spent(r) {
+		return revert(s, "new version is not shown to be good at this share"+spentReason)
+	}
+	s.Reason = "held: not shown to be good at this share"
+	return s
+}
+
+// stepTimeElapsed reports whether the current share has lasted for its part of the planned time. With a limit on the
+// calls of a bad version the shares after the trial last no longer than they must.
 func (e *evaluation) stepTimeElapsed(now time.Time, r sycamorevane.Rollout) bool {
+	if e.exposure.limit.IsSet() && r.Phase == sycamorevane.RolloutMoving {
+		return now.Sub(e.unchangedSince) >= minStepTime(r)
+	}
 	remaining := e.timeToPlannedEnd(now, r)
 	steps := 1
 	for _, l := range shareLevels {
@@ -846,8 +855,11 @@
 	// below.
 	Acceptance          float64
 	AcceptanceThreshold float64
-	NewCalls            float64
-	Routes              []string
+	// Used and Left are the calls that the new version has got and may still get if it is bad; Left is 0 without a limit.
+	Used     float64
+	Left     float64
+	NewCalls float64
+	Routes   []string
 }
 
 // Evidence returns the state of the comparison for a service, and false when there is none.
@@ -860,6 +872,7 @@
 	view := Evidence{
 		Strongest: min(evidence, math.MaxFloat64), Threshold: revertThreshold, Description: what, NewCalls: e.all.newCalls,
 		Acceptance: e.all.acceptance(weakCriterion), AcceptanceThreshold: logBeta,
+		Used: e.exposure.used(), Left: e.exposure.lastLeft,
 	}
 	for route := range e.routes {
 		view.Routes = append(view.Routes, route)
--- a/promoter/core_test.go
+++ b/promoter/core_test.go
@@ -20,6 +20,7 @@
 	clock     *testClock
 	rollout   sycamorevane.Rollout
 	capacity  Capacity
+	exposure  ExposureLimit
 }
 
 func newHarness(phase sycamorevane.RolloutPhase, share float64) *harness {
@@ -41,7 +42,9 @@
 }
 
 func (b *harness) decide() {
-	steps := b.core.Step(Input{Now: b.clock.now, Rollouts: rolloutMap(b.rollout), Capacity: map[string]Capacity{"flagboard": b.capacity}})
+	steps := b.core.Step(Input{
+		Now: b.clock.now, Rollouts: rolloutMap(b.rollout), Capacity: map[string]Capacity{"flagboard": b.capacity}, Exposure: b.exposure,
+	})
 	if s, ok := steps["flagboard"]; ok {
 		b.rollout, _ = s.Apply(b.rollout, b.clock.now)
 	}
--- a/promoter/driver.go
+++ b/promoter/driver.go
@@ -18,6 +18,8 @@
 	decisionInterval = time.Second
 	// submitTimeout bounds one submission. A step that was not committed is decided again from the committed rollout.
 	submitTimeout = 3 * time.Second
+	// alarmDelay is the time from an alarm to the report, in which failures of the same moment are collected.
+	alarmDelay = 100 * time.Millisecond
 )
 
 // Config holds the parameters of a Promoter.
@@ -31,6 +33,8 @@
 	State func() sycamorevane.State
 	// Capacity describes the servers of the services under rollout, by service.
 	Capacity func() map[string]Capacity
+	// Exposure limits the calls of a version that turns out to be bad; zero for no limit.
+	Exposure ExposureLimit
 	// Submit proposes a step to the replicated log and returns when the step is committed.
 	Submit func(ctx context.Context, service string, step Step) error
 }
@@ -40,6 +44,8 @@
 	cfg  Config
 	stop context.CancelFunc
 	wg   sync.WaitGroup
+	// failures signals that entries have reported failures of a new version.
+	failures chan struct{}
 
 	mu sync.Mutex
 	// core is nil while this host is not the leader, so that each term starts without old evidence.
@@ -51,16 +57,33 @@
 
 // New registers the handler for evidence. Decisions begin with Start.
 func New(cfg Config) *Promoter {
-	p := &Promoter{cfg: cfg, stop: func() {}, submitting: sycamorevane.NewSet[string]()}
+	p := &Promoter{cfg: cfg, stop: func() {}, submitting: sycamorevane.NewSet[string](), failures: make(chan struct{}, 1)}
 	cfg.Transport.Handle(&encoder.Evidence{}, p.receive)
 	return p
 }
 
-// Start begins to decide once a second until Close.
+// Start begins to decide once a second, and on each report of failures, until Close.
 func (p *Promoter) Start() {
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
-	p.wg.Go(func() { runEvery(ctx, decisionInterval, p.decide) })
+	p.wg.Go(func() {
+		t := time.NewTicker(decisionInterval)
+		defer t.Stop()
+		p.run(ctx, t.C)
+	})
+}
+
+func (p *Promoter) run(ctx context.Context, tick <-chan time.Time) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick:
+			p.decide(ctx)
+		case <-p.failures:
+			p.submitSteps(ctx, (*Core).Alarms)
+		}
+	}
 }
 
 // Close stops the decisions and waits for running submissions.
@@ -99,16 +122,25 @@
 	if p.core == nil {
 		return nil
 	}
+	if reportsFailures(e) {
+		select {
+		case p.failures <- struct{}{}:
+		default:
+		}
+	}
 	return p.core.Add(from, e)
 }
 
-func (p *Promoter) decide(ctx context.Context) {
-	for service, s := range p.nextSteps() {
+func (p *Promoter) decide(ctx context.Context) { p.submitSteps(ctx, (*Core).Step) }
+
+// submitSteps submits the steps that the method of the core decides on.
+func (p *Promoter) submitSteps(ctx context.Context, method func(*Core, Input) map[string]Step) {
+	for service, s := range p.nextSteps(method) {
 		p.wg.Go(func() { p.submit(ctx, service, s) })
 	}
 }
 
-func (p *Promoter) nextSteps() map[string]Step {
+func (p *Promoter) nextSteps(method func(*Core, Input) map[string]Step) map[string]Step {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.cfg.IsLeader() {
@@ -123,7 +155,9 @@
 	for _, s := range state.Config.Services {
 		ceilings[s.Name] = s.MaxTrialShare
 	}
-	steps := p.core.Step(Input{Now: p.cfg.Clock.Now(), Rollouts: state.Rollouts, Ceilings: ceilings, Capacity: p.cfg.Capacity()})
+	steps := method(p.core, Input{
+		Now: p.cfg.Clock.Now(), Rollouts: state.Rollouts, Ceilings: ceilings, Capacity: p.cfg.Capacity(), Exposure: p.cfg.Exposure,
+	})
 	for service := range steps {
 		if p.submitting.Has(service) {
 			delete(steps, service)
@@ -151,7 +185,7 @@
 	e, _ := p.Evidence(service)
 	p.cfg.Log.Info("rollout step", "service", service, "phase", s.Phase, "share", s.Share, "reason", s.Reason, "late", s.DeadlineAtRisk,
 		"evidence", e.Strongest, "about", e.Description, "threshold", e.Threshold,
-		"acceptance", e.Acceptance, "acceptedat", e.AcceptanceThreshold, "calls", e.NewCalls)
+		"acceptance", e.Acceptance, "acceptedat", e.AcceptanceThreshold, "calls", e.NewCalls, "used", e.Used, "left", e.Left)
 }
 
 // ReporterConfig holds the parameters of a Reporter.
@@ -175,11 +209,28 @@
 // NewReporter returns a Reporter. Reports begin with Start.
 func NewReporter(cfg ReporterConfig) *Reporter { return &Reporter{cfg: cfg, stop: func() {}} }
 
-// Start begins to send once a second until Close.
+// Start begins to send once a second, and soon after each alarm, until Close.
 func (r *Reporter) Start() {
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
-	r.wg.Go(func() { runEvery(ctx, decisionInterval, r.report) })
+	r.wg.Go(func() {
+		t := time.NewTicker(decisionInterval)
+		defer t.Stop()
+		r.run(ctx, t.C)
+	})
+}
+
+func (r *Reporter) run(ctx context.Context, tick <-chan time.Time) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick:
+		case <-r.cfg.Collector.Alarm():
+			wait(ctx, alarmDelay)
+		}
+		r.report(ctx)
+	}
 }
 
 // Close stops the reports.
@@ -221,15 +272,12 @@
 	return nil
 }
 
-func runEvery(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	t := time.NewTicker(interval)
+// wait returns after the time, or when the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f(ctx)
-		}
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
 }
--- a/promoter/exposure_test.go
+++ b/promoter/exposure_test.go
@@ -68,6 +68,7 @@
 	for i := range rows {
 		rows[i].traffic, rows[i].startupTime, rows[i].coldTime = exposureTraffic, 300*time.Millisecond, 3*time.Second
 		rows[i].ceiling, rows[i].delayed = 0.8*exposureShare, true
+		rows[i].exposure = ExposureLimit{Share: exposureShare, Calls: exposureCalls}
 	}
 	return rows
 }
--- /dev/null
+++ b/promoter/failures_test.go
@@ -0,0 +1,171 @@
+package promoter
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/encoder"
+)
+
+// evidence is a window of one route with the given answers, by side.
+func evidence(sequence uint64, ok, failed [2]uint32) *encoder.Evidence {
+	m := &encoder.EvidenceMove{Service: "flagboard", Rollout: "r1"}
+	for side := range ok {
+		counts := make([]uint32, outcomeKinds)
+		counts[sycamorevane.OutcomeOK], counts[sycamorevane.OutcomeFailed] = ok[side], failed[side]
+		m.Cells = append(m.Cells, &encoder.EvidenceCell{To: side == 1, Route: "read", Counts: counts})
+	}
+	return &encoder.Evidence{Boot: 1, Windows: []*encoder.EvidenceWindow{{Sequence: sequence, Moves: []*encoder.EvidenceMove{m}}}}
+}
+
+// TestFailuresBetweenDecisions guards against a version that gets calls for seconds after it has begun to fail, and against
+// a revert for failures that have another cause.
+func TestFailuresBetweenDecisions(t *testing.T) {
+	for name, tc := range map[string]struct {
+		phase      sycamorevane.RolloutPhase
+		ok, failed [2]uint32
+		want       bool
+	}{
+		"half fails":               {sycamorevane.RolloutMoving, [2]uint32{20, 20}, [2]uint32{0, 20}, true},
+		"a quarter fails":          {sycamorevane.RolloutMoving, [2]uint32{20, 75}, [2]uint32{0, 25}, true},
+		"few failures":             {sycamorevane.RolloutMoving, [2]uint32{20, 95}, [2]uint32{0, 5}, false},
+		"a tenth fails":            {sycamorevane.RolloutMoving, [2]uint32{20, 90}, [2]uint32{0, 10}, false},
+		"the old version does too": {sycamorevane.RolloutMoving, [2]uint32{100, 75}, [2]uint32{40, 25}, false},
+		"taken over":               {sycamorevane.RolloutDone, [2]uint32{0, 20}, [2]uint32{0, 20}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			core := NewCore()
+			in := Input{Now: time.Unix(1e9, 0), Rollouts: rolloutMap(testRollout(tc.phase, 0.9))}
+			core.Step(in)
+			core.Add("e1", evidence(1, [2]uint32{2000, 2000}, [2]uint32{}))
+			in.Now = in.Now.Add(time.Second)
+			core.Step(in)
+			require.Empty(t, core.Alarms(in), "good answers")
+			core.Add("e1", evidence(2, tc.ok, tc.failed))
+			s, reverts := core.Alarms(in)["flagboard"]
+			require.Equal(t, tc.want, reverts)
+			if tc.want {
+				require.Equal(t, sycamorevane.RolloutReverting, s.Phase)
+				require.Zero(t, s.Share)
+			}
+		})
+	}
+}
+
+func expectAlarm(t *testing.T, c *Collector, want bool) {
+	t.Helper()
+	select {
+	case <-c.Alarm():
+		require.True(t, want, "alarm")
+	default:
+		require.False(t, want, "no alarm")
+	}
+}
+
+func TestAlarm(t *testing.T) {
+	for name, tc := range map[string]struct {
+		version string
+		kind    sycamorevane.OutcomeKind
+		n       int
+		want    bool
+	}{
+		"failures":                {"2", sycamorevane.OutcomeFailed, alarmFailures, true},
+		"a single failure":        {"2", sycamorevane.OutcomeFailed, alarmFailures - 1, false},
+		"good answers":            {"2", sycamorevane.OutcomeOK, 100, false},
+		"failures of the old one": {"1", sycamorevane.OutcomeFailed, 100, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, _ := newTestCollector()
+			observe(c, tc.version, tc.kind, tc.n)
+			expectAlarm(t, c, tc.want)
+		})
+	}
+	t.Run("failures of two windows", func(t *testing.T) {
+		c, _ := newTestCollector()
+		observe(c, "2", sycamorevane.OutcomeFailed, 1)
+		c.Summary()
+		observe(c, "2", sycamorevane.OutcomeFailed, 1)
+		expectAlarm(t, c, false)
+		observe(c, "2", sycamorevane.OutcomeFailed, 1)
+		expectAlarm(t, c, true)
+	})
+}
+
+// TestFailuresAreReportedAndActedOnAtOnce guards against reports of failures, and decisions on them, that wait for the next
+// interval.
+func TestFailuresAreReportedAndActedOnAtOnce(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c, clock := newTestCollector()
+	transport := &localTransport{}
+	submitted := make(chan Step, 1)
+	p := New(Config{
+		Transport: transport, Clock: clock, Log: logr.Discard(), IsLeader: func() bool { return true },
+		State: func() sycamorevane.State {
+			return sycamorevane.State{Rollouts: rolloutMap(testRollout(sycamorevane.RolloutMoving, 0.9))}
+		},
+		Capacity: func() map[string]Capacity { return nil },
+		Submit: func(_ context.Context, _ string, s Step) error {
+			submitted <- s
+			return nil
+		},
+	})
+	r := NewReporter(ReporterConfig{Transport: transport, Collector: c, Log: logr.Discard(), LeaderName: func() string { return "c1" }})
+	ctx, stop := context.WithCancel(context.Background())
+	defer p.wg.Wait()
+	defer stop()
+	p.decide(ctx)
+	p.wg.Go(func() { p.run(ctx, nil) })
+	p.wg.Go(func() { r.run(ctx, nil) })
+	observe(c, "2", sycamorevane.OutcomeFailed, 2*obviousFailures)
+	select {
+	case s := <-submitted:
+		require.Equal(t, sycamorevane.RolloutReverting, s.Phase)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "no decision")
+	}
+}
+
+// TestStepsLeaveCallsForTheNext guards against a share at which a version that turns bad exceeds what it may get.
+func TestStepsLeaveCallsForTheNext(t *testing.T) {
+	limit := ExposureLimit{Share: 0.1, Calls: 50}
+	for name, tc := range map[string]struct {
+		limit             ExposureLimit
+		rate, used        float64
+		from, share, want float64
+	}{
+		"room for the step":         {limit, 300, 40, 0.08, 0.2, 0.2},
+		"room for a smaller step":   {limit, 300, 120, 0.08, 0.5, 0.32},
+		"no room before the last":   {limit, 300, 250, 0.08, 0.3, 0.9},
+		"the last share":            {limit, 300, 500, 0.3, 0.9, 0.9},
+		"hardly more than now":      {limit, 300, 120, 0.3, 0.5, 0.9},
+		"without a limit":           {ExposureLimit{}, 300, 1e6, 0.08, 0.5, 0.5},
+		"before calls are reported": {limit, 0, 0, 0.08, 0.5, 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := testRollout(sycamorevane.RolloutMoving, tc.from)
+			r.Deadline = r.StartedAt + 16_000
+			x := exposure{limit: tc.limit, newCalls: tc.used, recentCalls: tc.rate, recentTime: time.Second}
+			s := x.limitStep(r, Step{Phase: sycamorevane.RolloutMoving, FromShare: tc.from, Share: tc.share})
+			require.InDelta(t, tc.want, s.Share, 0.01)
+		})
+	}
+}
+
+// TestNewLeaderCountsEarlierCalls guards against a leader that takes a limit for unused because it has seen no calls.
+func TestNewLeaderCountsEarlierCalls(t *testing.T) {
+	b := newHarness(sycamorevane.RolloutMoving, 0.9)
+	b.exposure = ExposureLimit{Share: 0.1}
+	b.clock.now = b.clock.now.Add(20 * time.Second)
+	for range 2 {
+		b.runSecond(30, 270, sycamorevane.OutcomeOK)
+	}
+	e := b.core.evaluations["flagboard"]
+	require.True(t, e.exposure.spent(b.rollout))
+	require.InDelta(t, 300*0.9*21, e.exposure.used(), 300)
+}
--- a/promoter/simulation_test.go
+++ b/promoter/simulation_test.go
@@ -106,6 +106,7 @@
 	startupTime     time.Duration
 	allowed         time.Duration // simAllowed when zero
 	ceiling         float64       // simCeiling when zero
+	exposure        ExposureLimit
 	delayed         bool          // outcomes are observed when the calls end
 	coldTime        time.Duration // servers are warm so long after their start, or after some calls when zero
 	traffic         traffic       // defaultTraffic when zero
@@ -283,9 +284,11 @@
 		}
 		s.sendCalls()
 		s.endCalls()
-		s.exchange()
+		failing := s.exchange()
 		if s.now%time.Second == 0 {
-			s.decide()
+			s.decide((*Core).Step)
+		} else if failing {
+			s.decide((*Core).Alarms)
 		}
 		if s.rollout != s.pushed && s.now >= s.decidedAt+pushDelay {
 			s.push()
@@ -465,10 +468,17 @@
 	})
 }
 
-// exchange sends evidence over a network that loses messages. Each entry has its own offset within the second.
-func (s *sim) exchange() {
+// exchange sends evidence over a network that loses messages. Each entry has its own offset within the second, and
+// reports failures of the new version at once. It reports whether the core has been told of such failures.
+func (s *sim) exchange() (failing bool) {
 	for i, c := range s.entries {
-		if s.now%time.Second != time.Duration(i)*tickInterval || (s.entryLost && i == 0) {
+		isDue := s.now%time.Second == time.Duration(i)*tickInterval
+		select {
+		case <-c.Alarm():
+			isDue = true
+		default:
+		}
+		if !isDue || (s.entryLost && i == 0) {
 			continue
 		}
 		e := c.Summary()
@@ -476,10 +486,12 @@
 			continue
 		}
 		ack := s.core.Add(fmt.Sprint("entry", i), e)
+		failing = failing || reportsFailures(e)
 		if s.rand.Float64() >= simLossRate {
 			c.Acknowledge(ack)
 		}
 	}
+	return failing
 }
 
 func (s *sim) capacity(side int) VersionCapacity {
@@ -495,12 +507,13 @@
 	return c
 }
 
-func (s *sim) decide() {
+func (s *sim) decide(steps func(*Core, Input) map[string]Step) {
 	before := s.rollout
-	step, ok := s.core.Step(Input{
+	step, ok := steps(s.core, Input{
 		Now: s.Now(), Rollouts: map[string]sycamorevane.Rollout{"flagboard": s.rollout},
 		Ceilings: map[string]float64{"flagboard": s.row.ceiling},
 		Capacity: map[string]Capacity{"flagboard": {Old: s.capacity(0), New: s.capacity(1)}},
+		Exposure: s.row.exposure,
 	})["flagboard"]
 	if ok {
 		s.rollout, _ = step.Apply(s.rollout, s.Now())
--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -125,6 +125,7 @@
 		IsLeader: func() bool { self, _ := c.isLeader(); return self },
 		State:    func() sycamorevane.State { return *c.stateMachine.State() },
 		Capacity: c.capacity, Submit: c.submit,
+		Exposure: promoter.ExposureLimit{Share: s.Bounds.MaxTrialShare, Calls: s.Bounds.TrialSlack},
 	})
 	c.quarantiner = quarantiner.NewCollector(quarantiner.CollectorConfig{
 		Transport:   p.mesh,
