A trial that cannot end in time is reverted before the deadline

Cause: a rollout in its trial was reverted at the deadline, although two more steps no longer fit in before, and a revert takes two to four seconds. Change: a trial with less than two steps' time before the deadline is reverted. Measured: the new case of TestCore fails without the change.

--- a/promoter/core.go
+++ b/promoter/core.go
@@ -79,6 +79,8 @@
 	// waitingAtRiskFraction is the fraction of the allowed time after which the deadline of a rollout that still
 	// waits for servers is at risk.
 	waitingAtRiskFraction = 0.25
+	// lastTrialTime is the time before the deadline that a rollout needs to leave the trial, and a revert to end.
+	lastTrialTime = 2 * (shortStepTime + commitDelay)
 	// maxUnacceptedSteps is the number of decisions in a row for which a version that has got the calls that a bad version
 	// may get can do without meeting the weak criterion.
 	maxUnacceptedSteps = 2
@@ -389,6 +391,9 @@
 	if now.UnixMilli() >= r.Deadline {
 		return revert(s, "deadline passed at share "+percent(r.Share))
 	}
+	if r.Phase == sycamorevane.RolloutTrial && now.Add(lastTrialTime).UnixMilli() > r.Deadline {
+		return revert(s, "new version has not shown itself good in time")
+	}
 	s = e.advance(now, r, capacity, known, ceiling, s)
 	if s.Phase != sycamorevane.RolloutDone && s.Phase != sycamorevane.RolloutReverting {
 		s.DeadlineAtRisk = r.DeadlineAtRisk || e.deadlineAtRisk(now, r, ceiling)
--- a/promoter/core_test.go
+++ b/promoter/core_test.go
@@ -70,6 +70,13 @@
 		require.Equal(t, sycamorevane.RolloutReverting, b.rollout.Phase)
 		require.Zero(t, b.rollout.Share)
 	})
+	t.Run("a trial that can no longer end in time is reverted by the deadline", func(t *testing.T) {
+		b := newHarness(sycamorevane.RolloutTrial, 0.05)
+		for b.clock.now.UnixMilli() < b.rollout.Deadline {
+			b.runSecond(100, 0, ok)
+		}
+		require.Equal(t, sycamorevane.RolloutReverted, b.rollout.Phase)
+	})
 	t.Run("no calls, no growth", func(t *testing.T) {
 		b := newHarness(sycamorevane.RolloutWaiting, 0)
 		for range 50 {
