Shares after the trial last one decision, and evidence at them reverts earlier

Shares at which evidence between 200 and 2e6 holds the rollout go on for seconds. Change: the time at a share counts from its commit, with 0.1 s of tolerance; the last share lasts one decision longer. After the trial of a rollout with a limit, evidence of 1e4 reverts. A step leaves what the last share takes in 1 s, and no step is made that lacks the calls for a decision.

--- a/promoter/comparison.go
+++ b/promoter/comparison.go
@@ -33,8 +33,9 @@
 	// holdThreshold is the evidence that stops the share from growing. It takes more than one failed call of a rare
 	// route, which alone gives about 100 and decays slowly.
 	holdThreshold = 200
-	// spentThreshold is the evidence that reverts a rollout whose new version has got all calls that a bad version may get.
-	spentThreshold = 1e4
+	// limitedRevertThreshold is the evidence that reverts a rollout after its trial when a bad version may get a limited
+	// number of calls. The trial and a few windows give 20 detectors less occasion for a false alarm than a long rollout.
+	limitedRevertThreshold = 1e4
 	// initialHoldThreshold keeps the share of the first calls. While there are few, a single failed call reaches it.
 	initialHoldThreshold = 20
 	// logBeta is the log of the probability of accepting a version as good although its rates are as bad as the
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -30,6 +30,8 @@
 	normalStepTime   = 2 * time.Second
 	stepTimeFraction = 0.05
 	shortStepTime    = time.Second
+	// decisionJitter is the time by which a decision, or the commit of the one before, may be off the interval.
+	decisionJitter = 100 * time.Millisecond
 	// commitDelay is the time from a step until its first evidence arrives.
 	commitDelay = time.Second
 	// plannedEndFraction is the fraction of the allowed time in which the new version is planned to take over. The
@@ -673,8 +675,8 @@
 
 func (e *evaluation) decideMoving(now time.Time, r sycamorevane.Rollout, s Step) Step {
 	evidence, reason := e.strongestEvidence()
-	if evidence >= spentThreshold && e.exposure.spent(r) {
-		return revert(s, reason+spentReason)
+	if evidence >= limitedRevertThreshold && e.exposure.limit.IsSet() {
+		return revert(s, reason)
 	}
 	if evidence >= holdThreshold {
 		s.Reason = "held: evidence against the new version"
@@ -706,7 +708,7 @@
 func (e *evaluation) holdUnaccepted(r sycamorevane.Rollout, s Step) Step {
 	e.unacceptedSteps++
 	if e.unacceptedSteps >= maxUnacceptedSteps && e.exposure.spent(r) {
-		return revert(s, "new version is not shown to be good at this share"+spentReason)
+		return revert(s, "new version is not shown to be good at this share, and it has got the calls that a bad version may get")
 	}
 	s.Reason = "held: not shown to be good at this share"
 	return s
@@ -716,7 +718,11 @@
 // calls of a bad version the shares after the trial last no longer than they must.
 func (e *evaluation) stepTimeElapsed(now time.Time, r sycamorevane.Rollout) bool {
 	if e.exposure.limit.IsSet() && r.Phase == sycamorevane.RolloutMoving {
-		return now.Sub(e.unchangedSince) >= minStepTime(r)
+		least := minStepTime(r)
+		if r.Share >= shareLevels[len(shareLevels)-1] {
+			least += commitDelay
+		}
+		return e.timeAtShare(now, r) >= least-decisionJitter
 	}
 	remaining := e.timeToPlannedEnd(now, r)
 	steps := 1
@@ -729,6 +735,12 @@
 	return now.Sub(e.unchangedSince) >= stepTime
 }
 
+// timeAtShare is the time since the current share was committed, at most one interval before it was seen.
+func (e *evaluation) timeAtShare(now time.Time, r sycamorevane.Rollout) time.Duration {
+	beforeSeen := e.unchangedSince.Sub(time.UnixMilli(r.ChangedAt))
+	return now.Sub(e.unchangedSince) + min(max(beforeSeen, 0), decisionInterval)
+}
+
 // timeToPlannedEnd is the time left to the planned end. A rollout whose share starts to grow late is planned to end
 // later, since its steps would otherwise be too short to show regressions.
 func (e *evaluation) timeToPlannedEnd(now time.Time, r sycamorevane.Rollout) time.Duration {
--- a/promoter/exposure.go
+++ b/promoter/exposure.go
@@ -9,15 +9,15 @@
 const (
 	// reactionTime is the time in which a new version that begins to fail gets no calls any more: reports, a decision, its
 	// commit and the push to the entries.
-	reactionTime = 800 * time.Millisecond
+	reactionTime = time.Second
 	// rateDecay is applied, at each decision, to the number of calls of which the current rate is calculated.
 	rateDecay = 0.8
 	// minLimitedShare is the smallest share after the trial that an ExposureLimit leaves, minRaise the smallest factor on
 	// the share.
 	minLimitedShare = 0.2
 	minRaise        = 1.2
-	// spentReason ends the reason for a revert that would not have been decided while calls were left.
-	spentReason = ", and it has got the calls that a bad version may get"
+	// limitedStepCalls is the number of calls that a share takes at least, as decisions see minStepCalls late.
+	limitedStepCalls = 1.5 * minStepCalls
 )
 
 // ExposureLimit limits the calls that a version which turns out to be bad may have got by its deadline.
@@ -109,9 +109,9 @@
 		return s
 	}
 	left := x.left(r) - last*rate*reactionTime.Seconds()
-	stay := minStepTime(r) + commitDelay
+	stay := minStepTime(r) + commitDelay/2
 	s.Share = min(s.Share, left/(rate*stay.Seconds()))
-	if s.Share < max(minLimitedShare, minRaise*r.Share) {
+	if s.Share < max(minLimitedShare, minRaise*r.Share) || left < limitedStepCalls {
 		s.Share = last
 	}
 	return s
