A revert ends when a window has no calls of the new version

What callers saw: a version that was reverted in time counted as rolled back only after the deadline, four seconds after the last request to it. Cause: the time counted from the decision after the commit, and two windows without calls in a row were asked for. Change: the time counts from the commit, and one window without calls after two seconds ends the revert.

--- a/promoter/core.go
+++ b/promoter/core.go
@@ -376,7 +376,7 @@
 	case sycamorevane.RolloutReverted:
 		return s
 	case sycamorevane.RolloutReverting:
-		return e.finishRevert(now, s)
+		return e.finishRevert(now, r, s)
 	case sycamorevane.RolloutDone:
 		if r.Irreversible {
 			return s // The old servers have stopped.
@@ -815,9 +815,9 @@
 	return s
 }
 
-func (e *evaluation) finishRevert(now time.Time, s Step) Step {
-	sinceChange := now.Sub(e.unchangedSince)
-	if sinceChange >= maxRevertTime || (sinceChange >= minRevertTime && e.windowsWithoutCalls >= int(minRevertTime/time.Second)) {
+func (e *evaluation) finishRevert(now time.Time, r sycamorevane.Rollout, s Step) Step {
+	sinceChange := e.timeAtShare(now, r) + decisionJitter
+	if sinceChange >= maxRevertTime || sinceChange >= minRevertTime && e.windowsWithoutCalls > 0 {
 		s.Phase = sycamorevane.RolloutReverted
 	}
 	s.Share = 0
