Small shares of a long rollout are not skipped

Cause: limitStep skipped every share below 0.2 after the trial, also where the limit had room for it: a rollout of minutes would have gone from its trial to 0.9. Found by reading the diff. Change: a share is skipped only if the limit lowers it below 0.2. Measured: the new row of TestStepsLeaveCallsForTheNext gave 0.9 before, 0.1 now.

--- a/promoter/exposure.go
+++ b/promoter/exposure.go
@@ -110,9 +110,12 @@
 	}
 	left := x.left(r) - last*rate*reactionTime.Seconds()
 	stay := minStepTime(r) + commitDelay/2
-	s.Share = min(s.Share, left/(rate*stay.Seconds()))
-	if s.Share < max(minLimitedShare, minRaise*r.Share) || left < limitedStepCalls {
+	maxShare := left / (rate * stay.Seconds())
+	switch {
+	case left < limitedStepCalls, maxShare < s.Share && maxShare < max(minLimitedShare, minRaise*r.Share):
 		s.Share = last
+	default:
+		s.Share = min(s.Share, maxShare)
 	}
 	return s
 }
--- a/promoter/failures_test.go
+++ b/promoter/failures_test.go
@@ -140,6 +140,7 @@
 		from, share, want float64
 	}{
 		"room for the step":         {limit, 300, 40, 0.08, 0.2, 0.2},
+		"room for a small step":     {limit, 300, 40, 0.08, 0.1, 0.1},
 		"room for a smaller step":   {limit, 300, 120, 0.08, 0.5, 0.31},
 		"no room before the last":   {limit, 300, 250, 0.08, 0.3, 0.9},
 		"too few calls to see":      {limit, 60, 50, 0.08, 0.3, 0.9},
