Tests: what a deposed leader knew of a dead entry is lost by what happened, not by a time

Requests that an entry has reported before it dies are known to the leader of that time only, until the commit of the window; a next leader closes the window without them. That is documented. The check took them for lost if an election came within 10 s of the death. Change: they are lost if an election lies between the entry's last report and the commit of the window. This is as strict: elections near the death but before the last report, or after the commit, excuse nothing any more. TestRequestsOfADeadEntryWithAFrozenLeader has both orders.

--- a/accountant/simulation_test.go
+++ b/accountant/simulation_test.go
@@ -81,20 +81,27 @@
 	// lost is the number of requests that died with their entry, by window.
 	lost map[int64]float64
 	// Requests that an entry had reported and that were not committed when it died are known only to the leader of that
-	// time. They are lost when another host was elected near that time.
-	kills     []simKill
-	elections []time.Duration
+	// time. They are lost when another host is elected after the last report and before the commit.
+	kills       []simKill
+	elections   []time.Duration
+	committedAt map[int64]time.Duration
 }
 
 type simKill struct {
-	at       time.Duration
-	reported map[int64]float64
+	lastReport time.Duration
+	reported   map[int64]float64
+}
+
+// isLost reports whether the requests of the window that the entry had reported are lost.
+func (s *sim) isLost(kill simKill, window int64) bool {
+	return slices.ContainsFunc(s.elections, func(at time.Duration) bool { return at > kill.lastReport && at <= s.committedAt[window] })
 }
 
 func newSim(t require.TestingT, seed uint64) *sim {
 	s := &sim{
 		t: t, r: rand.New(rand.NewPCG(seed, 1)), machine: applier.New(), acceptedAt: make(map[int64]time.Duration),
 		truth: make(map[int64]map[string]uint64), lost: make(map[int64]float64), events: make(map[time.Duration]func()),
+		committedAt: make(map[int64]time.Duration),
 	}
 	for i := range simHosts {
 		s.hosts = append(s.hosts, &simHost{core: NewCore(simConfig), started: -time.Duration(i) * 7 * time.Second})
@@ -174,6 +181,9 @@
 }
 
 func (s *sim) commit(change *applier.UsageChange) {
+	for _, w := range change.Windows {
+		s.committedAt[w.Number] = s.now
+	}
 	data, err := applier.Encode(applier.Command{Op: applier.OpUsage, Args: applier.Args{Usage: change}})
 	require.NoError(s.t, err)
 	s.index++
@@ -246,7 +256,7 @@
 // kill replaces an entry by a new process with the same name. What it has counted since its last report is lost.
 func (s *sim) kill(i int) {
 	old := s.entries[i]
-	kill := simKill{s.now, make(map[int64]float64)}
+	kill := simKill{old.sentAt, make(map[int64]float64)}
 	for _, c := range old.counter.Report(time.Unix(0, int64(s.now)), true).Cells {
 		at := old.started + time.Duration(c.Index)*CellWidth
 		lost := kill.reported
@@ -277,8 +287,8 @@
 // check verifies what holds in any run: one set of counts per window, close to the truth, and no alternating holders.
 func (s *sim) check(end time.Duration) {
 	for _, kill := range s.kills {
-		if slices.ContainsFunc(s.elections, func(at time.Duration) bool { return (at - kill.at).Abs() < simConfig.Late }) {
-			for w, n := range kill.reported {
+		for w, n := range kill.reported {
+			if s.isLost(kill, w) {
 				s.lost[w] += n
 			}
 		}
@@ -386,6 +396,21 @@
 	}
 }
 
+// Guards against a check that takes the requests of a dead entry for lost, or not, by the time between its end and an election.
+func TestRequestsOfADeadEntryWithAFrozenLeader(t *testing.T) {
+	for name, newLeaderAt := range map[string]time.Duration{"before the commit": 19100 * time.Millisecond, "after the commit": 20 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			s := newSim(t, 0)
+			s.events[8*time.Second] = func() { s.kill(0) }
+			s.events[10700*time.Millisecond] = func() { s.hosts[0].frozenUntil = s.now + 6*time.Second }
+			s.events[newLeaderAt] = func() { s.elect(1) }
+			s.run(60 * time.Second)
+			require.Equal(t, newLeaderAt < 20*time.Second, s.isLost(s.kills[0], s.window(8*time.Second-simStep)))
+			s.check(45 * time.Second)
+		})
+	}
+}
+
 // Guards against two different counts for one window, alternating holders and windows that are never reported, under any
 // sequence of faults.
 func TestReportsUnderFaults(t *testing.T) {
