A good version is not reverted for latency under load, nor made to wait at the last share

The version has fewer servers, which are slower for a while. Change: the lower threshold is for errors only; a version that has got what a bad version may get does not wait for calls on rare routes. TestSlowCallsAfterTheTrialNeedFullEvidence fails without the change.

--- a/promoter/core.go
+++ b/promoter/core.go
@@ -541,6 +541,15 @@
 	return evidence, "new version is worse: " + reason
 }
 
+// strongestErrorEvidence returns the strongest evidence over all groups of calls that the new version fails more of them.
+func (e *evaluation) strongestErrorEvidence() float64 {
+	evidence := max(e.all.errorEvidence, e.rare.errorEvidence)
+	for _, group := range e.routes {
+		evidence = max(evidence, group.errorEvidence)
+	}
+	return evidence
+}
+
 // accepted reports whether the evidence accepts the version as good, as a whole and on each route. After
 // pooledRoutesFraction of the allowed time the routes with few calls are accepted as a group; after
 // weakCriterionFraction the service as a whole decides.
@@ -570,9 +579,10 @@
 	return e.callsAtShare >= initialCalls && e.windowsAtShare >= initialWindows
 }
 
-// routesCovered reports whether the evidence on single routes allows the last step.
+// routesCovered reports whether the evidence on single routes allows the last step. A version that has got the calls that
+// a bad version may get is not made to wait for calls on rare routes.
 func (e *evaluation) routesCovered(now time.Time, r sycamorevane.Rollout) bool {
-	if elapsed(now, r) >= skipRoutesFraction {
+	if elapsed(now, r) >= skipRoutesFraction || e.exposure.spent(r) {
 		return true
 	}
 	for _, group := range e.routes {
@@ -674,11 +684,10 @@
 }
 
 func (e *evaluation) decideMoving(now time.Time, r sycamorevane.Rollout, s Step) Step {
-	evidence, reason := e.strongestEvidence()
-	if evidence >= limitedRevertThreshold && e.exposure.limit.IsSet() {
-		return revert(s, reason)
+	if evidence := e.strongestErrorEvidence(); evidence >= limitedRevertThreshold && e.exposure.limit.IsSet() {
+		return revert(s, "new version is worse: errors")
 	}
-	if evidence >= holdThreshold {
+	if evidence, _ := e.strongestEvidence(); evidence >= holdThreshold {
 		s.Reason = "held: evidence against the new version"
 		return s
 	}
--- a/promoter/failures_test.go
+++ b/promoter/failures_test.go
@@ -159,6 +159,30 @@
 	}
 }
 
+// TestSlowCallsAfterTheTrialNeedFullEvidence guards against a good version that is reverted because its servers are full for
+// a few seconds.
+func TestSlowCallsAfterTheTrialNeedFullEvidence(t *testing.T) {
+	for name, tc := range map[string]struct {
+		errors, latency float64
+		want            sycamorevane.RolloutPhase
+	}{
+		"errors":  {2 * limitedRevertThreshold, 0, sycamorevane.RolloutReverting},
+		"latency": {0, 2 * limitedRevertThreshold, sycamorevane.RolloutMoving},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(sycamorevane.RolloutMoving, 0.5)
+			b.exposure = ExposureLimit{Share: 0.1, Calls: 50}
+			for range 2 {
+				b.runSecond(100, 100, sycamorevane.OutcomeOK)
+			}
+			group := b.core.evaluations["flagboard"].routes["read"]
+			group.errorEvidence, group.tailEvidence = tc.errors, tc.latency
+			b.decide()
+			require.Equal(t, tc.want, b.rollout.Phase)
+		})
+	}
+}
+
 // TestNewLeaderCountsEarlierCalls guards against a leader that takes a limit for unused because it has seen no calls.
 func TestNewLeaderCountsEarlierCalls(t *testing.T) {
 	b := newHarness(sycamorevane.RolloutMoving, 0.9)
