Decisions on reported failures are at most 20 a second

Cause: each report with a failure of a new version led to a decision, which reads the servers of the service. With hundreds of entries and a version that fails as rarely as the old one, that is hundreds of decisions a second on a leader with a fraction of a processor. Found by reading. Change: reports within 50 ms share a decision. Measured: tests of promoter; the cost on a large deployment was not measured.

--- a/promoter/driver.go
+++ b/promoter/driver.go
@@ -20,6 +20,8 @@
 	submitTimeout = 3 * time.Second
 	// alarmDelay is the time from an alarm to the report, in which failures of the same moment are collected.
 	alarmDelay = 100 * time.Millisecond
+	// alarmInterval is the least time between two decisions on reports of failures, which may come from hundreds of entries.
+	alarmInterval = 50 * time.Millisecond
 )
 
 // Config holds the parameters of a Promoter.
@@ -82,6 +84,7 @@
 			p.decide(ctx)
 		case <-p.failures:
 			p.submitSteps(ctx, (*Core).Alarms)
+			wait(ctx, alarmInterval)
 		}
 	}
 }
