A replaced process of an entry does not stand for an entry that is missing

What callers saw: nothing; a usage report lacked the requests of one entry of eight. Cause: a new leader expects as many entries as the last window had, less those that have shut down. A process that a new one of the same host had replaced counted as shut down, although the new one is counted as well, so that one missing entry was not waited for. Change: an entry has shut down when all its processes have.

--- a/accountant/core.go
+++ b/accountant/core.go
@@ -234,7 +234,7 @@
 	}
 	expected, complete := c.ledger.coverage(in.Now, end)
 	if n := len(in.Committed.Windows); n > 0 && in.Now-c.listeningSince < expectedAge {
-		expected = max(expected, in.Committed.Windows[n-1].Sources-c.finalSources())
+		expected = max(expected, in.Committed.Windows[n-1].Sources-c.ledger.endedHosts())
 	}
 	missing = max(0, expected-complete)
 	latest := max(closeDelay, c.cfg.Late-sendTime)
@@ -248,16 +248,6 @@
 	return expected, missing, false
 }
 
-func (c *Core) finalSources() int {
-	n := 0
-	for _, s := range c.ledger.sources {
-		if s.final {
-			n++
-		}
-	}
-	return n
-}
-
 func (c *Core) decideSend(in Input, out *Output) *Report {
 	if in.Now-c.since < c.cfg.Lease || c.superseded >= c.term || in.Now < c.nextCall || len(c.inFlight) >= maxCallsInFlight {
 		return nil
--- a/accountant/ledger.go
+++ b/accountant/ledger.go
@@ -202,6 +202,23 @@
 	return expected, complete
 }
 
+// endedHosts returns the number of entries that have shut down. One whose process has been replaced goes on reporting.
+func (l *ledger) endedHosts() int {
+	ended := make(map[string]bool)
+	for id, s := range l.sources {
+		if isEnded, known := ended[id.host]; !known || isEnded {
+			ended[id.host] = s.final
+		}
+	}
+	n := 0
+	for _, isEnded := range ended {
+		if isEnded {
+			n++
+		}
+	}
+	return n
+}
+
 // oldest returns the start of the oldest cell.
 func (l *ledger) oldest() (time.Duration, bool) {
 	oldest, found := time.Duration(0), false
--- a/accountant/simulation_test.go
+++ b/accountant/simulation_test.go
@@ -411,6 +411,16 @@
 	}
 }
 
+// Guards against a window that is closed without an entry because another one's process was replaced.
+func TestReplacedEntryDoesNotStandForAMissingOne(t *testing.T) {
+	s := newSim(t, 0)
+	s.events[8800*time.Millisecond] = func() { s.entries[0].cutTill = s.now + 4*time.Second }
+	s.events[9200*time.Millisecond] = func() { s.elect(2) }
+	s.events[10100*time.Millisecond] = func() { s.kill(2) }
+	s.run(60 * time.Second)
+	s.check(45 * time.Second)
+}
+
 // Guards against two different counts for one window, alternating holders and windows that are never reported, under any
 // sequence of faults.
 func TestReportsUnderFaults(t *testing.T) {
