Tests: versions that are bad on a rare route or slow under load, and completions that are reverted later

TestExposure had no such rows, and did not count a bad version as having taken over when it was reverted in its watch period; old servers may have stopped by then. No code of the product changes.

--- a/promoter/exposure_test.go
+++ b/promoter/exposure_test.go
@@ -36,6 +36,16 @@
 	}
 }
 
+// slowIf makes the calls on which the condition holds slower by the factor.
+func slowIf(factor float64, holds condition) fault {
+	return func(s *sim, route string, srv *simServer) (sycamorevane.OutcomeKind, float64) {
+		if holds(s, route, srv) {
+			return sycamorevane.OutcomeOK, factor
+		}
+		return sycamorevane.OutcomeOK, 1
+	}
+}
+
 // slowShare makes a share of the calls eight times slower.
 func slowShare(share float64) fault {
 	return func(s *sim, _ string, _ *simServer) (sycamorevane.OutcomeKind, float64) {
@@ -65,6 +75,15 @@
 			rows = append(rows, row{name: fmt.Sprintf("bad: %.0f%% %s", 100*share, c.name), fault: failsShare(share, c.holds)})
 		}
 	}
+	isRare := func(_ *sim, route string, _ *simServer) bool { return route == "rare" }
+	rows = append(
+		rows,
+		row{name: "bad: rare route slow", fault: slowIf(8, isRare)},
+		row{name: "bad: half of rare route fails", fault: failsShare(0.5, isRare)},
+		row{name: "bad: rare route fails", fault: failsShare(1, isRare)},
+		row{name: "bad: slow beside two calls", fault: slowIf(8, func(_ *sim, _ string, srv *simServer) bool { return srv.running > 1 })},
+		row{name: "bad: slow at a quarter of the slots", fault: slowIf(2.5, func(_ *sim, _ string, srv *simServer) bool { return srv.util > 0.25 })},
+	)
 	for i := range rows {
 		rows[i].traffic, rows[i].startupTime, rows[i].coldTime = exposureTraffic, 300*time.Millisecond, 3*time.Second
 		rows[i].ceiling, rows[i].delayed = 0.8*exposureShare, true
@@ -98,7 +117,7 @@
 	// share of the allowed time.
 	used, done []float64
 	exceeded   int
-	// wrong counts bad versions that took over, and good ones that did not in time.
+	// wrong counts bad versions that took over, also if they were reverted later, and good ones that did not in time.
 	wrong   int
 	reasons map[string]int
 }
@@ -112,7 +131,7 @@
 		x.exceeded++
 	}
 	x.done = append(x.done, r.doneAfter.Seconds()/w.allowed.Seconds())
-	if (w.fault == nil) != (r.phase == sycamorevane.RolloutDone) || r.doneAfter > w.allowed {
+	if (w.fault == nil) != (r.doneAfter > 0) || r.doneAfter > w.allowed {
 		x.wrong++
 	}
 	x.reasons[string(r.phase)+": "+r.reason]++
