A response to a request that may have run names the server

What callers saw: a 502 or 504 for a change that may have run did not say on which server, unless the text of the error had its address: that of a reset has it, "EOF" has not. Change: X-Backend-Server names the server in these responses, too.

--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -58,6 +58,9 @@
 	if c.f.dialect.AddServerHeaders {
 		h.Set(c.f.dialect.NotRun, strconv.FormatBool(notRun))
 		h.Set(headerAttempts, strconv.Itoa(c.attempts))
+		if server := c.uncertainServer(); server != "" {
+			h.Set(headerServer, server)
+		}
 	}
 	h.Set(c.f.dialect.RequestID, c.requestID())
 	if status == http.StatusUnauthorized {
@@ -77,12 +80,16 @@
 	c.writeResponse(status, body)
 }
 
+// uncertainServer is the server that may have run the request without a response, or "".
+func (c *call) uncertainServer() string {
+	if c.uncertain == nil {
+		return ""
+	}
+	return c.uncertain.Server
+}
+
 // logErrorResponse logs why the request got no response from a server.
 func (c *call) logErrorResponse(status int, notRun bool, retryAfter time.Duration, reason string) {
-	server := ""
-	if c.uncertain != nil {
-		server = c.uncertain.Server
-	}
 	service := ""
 	if c.svc != nil {
 		service = c.svc.Name
@@ -91,7 +98,7 @@
 	pairs := []any{
 		"request", c.r.Header.Get(c.f.dialect.RequestID), "status", status, "notrun", notRun,
 		"reason", reason, "service", service, "route", c.route.Name, "attempts", c.attempts,
-		"tried", c.excludedServers, "server", server,
+		"tried", c.excludedServers, "server", c.uncertainServer(),
 		"ms", now.Sub(c.startedAt).Milliseconds(), "left", c.deadline.Sub(now).Milliseconds(), "after", retryAfter.Milliseconds(),
 		"version", c.stateVersion(),
 	}
