Rare routes are compared as a group only with the same routes

Routes with less than 5% of the calls are compared as a group. The group's reference is that of the others, so that each call of the new route counts as slow. With routes that fail on both versions the same holds for errors. Change: a route joins the group while its part of the old version's calls on rare routes is at least half of its part of the new version's; the group's expected error rate is that of its routes, each with its own reference.

--- a/promoter/comparison.go
+++ b/promoter/comparison.go
@@ -176,9 +176,9 @@
 	// peakSlowShare is the largest share of slow calls of the old version in a window, decayed. In windows without
 	// calls of the old version it stands for disturbances that the new version has not caused.
 	peakSlowShare [len(slowQuantiles)]float64
-	// newCalls counts calls of the new version, decayedCalls those of both versions, decayed.
-	newCalls     float64
-	decayedCalls float64
+	// newCalls counts calls of the new version, recentCalls those of each version, decayed.
+	newCalls    float64
+	recentCalls [2]float64
 }
 
 func newComparison() *comparison {
@@ -197,31 +197,30 @@
 	belowFullLoad bool
 	// servers is the number of servers of the new version; zero when unknown.
 	servers int
+	// minErrorRate is the lowest error rate that is expected of the new version.
+	minErrorRate float64
 }
 
 // add applies one window.
 func (c *comparison) add(counts *callCounts, cond conditions) {
 	unpaired := counts.calls[0] < 1
-	c.addErrors(counts, cond, unpaired)
+	c.addErrors(counts, cond)
 	if !cond.cold {
 		c.addSlow(counts, cond, unpaired)
 	}
 	c.updateReference(counts, cond)
 	c.newCalls += counts.calls[1]
-	c.decayedCalls = c.decayedCalls*referenceDecay + counts.calls[0] + counts.calls[1]
+	for side, n := range counts.calls {
+		c.recentCalls[side] = c.recentCalls[side]*referenceDecay + n
+	}
 }
 
-func (c *comparison) addErrors(counts *callCounts, cond conditions, unpaired bool) {
+func (c *comparison) addErrors(counts *callCounts, cond conditions) {
 	n, k := counts.calls[1], counts.bad[1]
 	if n == 0 {
 		return
 	}
-	p0 := smoothedRate(counts.bad[0], counts.calls[0], c.errorRate())
-	// A window without errors of the old version is often chance, so its rate over many windows is considered, too.
-	p0 = min(max(p0, c.errorRate(), minErrorRate), 0.9)
-	if unpaired {
-		p0 = min(p0+unpairedErrorMargin, 0.9)
-	}
+	p0 := max(c.expectedErrorRate(counts), cond.minErrorRate)
 	ratio := (likelihoodRatio(n, k, p0, scaleOdds(p0, 4)) +
 		likelihoodRatio(n, k, p0, max(0.2, scaleOdds(p0, 8))) +
 		likelihoodRatio(n, k, p0, max(0.6, scaleOdds(p0, 16)))) / 3
@@ -231,6 +230,17 @@
 	}
 }
 
+// expectedErrorRate is the error rate that is expected of a version that is not worse. A window without errors of the old
+// version is often chance, so its rate over many windows is considered, too.
+func (c *comparison) expectedErrorRate(counts *callCounts) float64 {
+	usual := max(c.errorRate(), minErrorRate)
+	rate := max(smoothedRate(counts.bad[0], counts.calls[0], usual), usual)
+	if counts.calls[0] < 1 {
+		rate += unpairedErrorMargin
+	}
+	return min(rate, 0.9)
+}
+
 func (c *comparison) addSlow(counts *callCounts, cond conditions, unpaired bool) {
 	if sum(c.recent) < minReferenceCalls/2 {
 		return
@@ -353,6 +363,9 @@
 	return countAbove(counts.bins[0], c.tailThreshold()) / n
 }
 
+// allRecentCalls is the decayed number of calls of both versions.
+func (c *comparison) allRecentCalls() float64 { return c.recentCalls[0] + c.recentCalls[1] }
+
 func (c *comparison) errorRate() float64 {
 	if c.errorsAndCalls[1] == 0 {
 		return minErrorRate
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -42,6 +42,9 @@
 	lateStartFraction      = 0.4
 	// rareRouteShare is the share of the service's calls below which a route counts as rare.
 	rareRouteShare = 0.05
+	// minReferenceRatio bounds the part that a route has of the new version's calls on rare routes, relative to its part of the
+	// old version's calls on them. Beyond it the group would compare different routes.
+	minReferenceRatio = 0.5
 	// pooledRoutesFraction is the fraction of the allowed time after which rare routes are accepted as a group.
 	pooledRoutesFraction = 0.25
 	// weakCriterionFraction is the fraction of the allowed time after which the weak criterion for the service as a
@@ -440,7 +443,6 @@
 // compareWindow compares the counts of the window and clears it.
 func (e *evaluation) compareWindow(r sycamorevane.Rollout, capacity Capacity) {
 	total := newCallCounts()
-	rare := newCallCounts()
 	cold := e.isColdStart
 	cond := conditions{
 		cold:          cold,
@@ -464,11 +466,13 @@
 		}
 		group.add(counts, cond)
 		total.add(counts)
-		if group.decayedCalls < rareRouteShare*e.all.decayedCalls {
-			rare.add(counts)
-		}
 	}
-	e.rare.add(rare, cond)
+	rare, expectedErrors := e.rareCounts()
+	rareCond := cond
+	if rare.calls[1] > 0 {
+		rareCond.minErrorRate = expectedErrors / rare.calls[1]
+	}
+	e.rare.add(rare, rareCond)
 	e.all.add(total, cond)
 	e.callsAtShare += total.calls[1]
 	if total.calls[1] > 0 {
@@ -480,6 +484,32 @@
 	clear(e.window)
 }
 
+// rareCounts adds up the window's counts of the rare routes that can be compared as a group, and the errors that are expected
+// of a version that is not worse.
+func (e *evaluation) rareCounts() (rare *callCounts, expectedErrors float64) {
+	var recentCalls [2]float64
+	for _, route := range slices.Sorted(maps.Keys(e.routes)) {
+		if group := e.routes[route]; e.isRare(group) {
+			recentCalls[0] += group.recentCalls[0]
+			recentCalls[1] += group.recentCalls[1]
+		}
+	}
+	rare = newCallCounts()
+	for _, route := range slices.Sorted(maps.Keys(e.window)) {
+		group, counts := e.routes[route], e.window[route]
+		if !e.isRare(group) || group.recentCalls[0]*recentCalls[1] < minReferenceRatio*group.recentCalls[1]*recentCalls[0] {
+			continue
+		}
+		rare.add(counts)
+		expectedErrors += counts.calls[1] * group.expectedErrorRate(counts)
+	}
+	return rare, expectedErrors
+}
+
+func (e *evaluation) isRare(group *comparison) bool {
+	return group.allRecentCalls() < rareRouteShare*e.all.allRecentCalls()
+}
+
 // shedCountsAsFailure reports whether shed calls count as failures. A cold server sheds some calls, which then run on
 // other servers. But a version that sheds a large share of its calls, or has answered none, cannot take over.
 func (e *evaluation) shedCountsAsFailure(cold bool) bool {
@@ -564,7 +594,7 @@
 		if group.meets(routeCriterion) {
 			continue
 		}
-		if group.decayedCalls >= rareRouteShare*e.all.decayedCalls || elapsed(now, r) < pooledRoutesFraction || !e.rare.meets(routeCriterion) {
+		if !e.isRare(group) || elapsed(now, r) < pooledRoutesFraction || !e.rare.meets(routeCriterion) {
 			return false
 		}
 	}
--- /dev/null
+++ b/promoter/rare_routes_test.go
@@ -0,0 +1,77 @@
+package promoter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sycamorevane.example/sycamorevane"
+)
+
+// routeCalls are the calls of one route in a window, by side.
+type routeCalls struct {
+	ok, bad [2]int
+	latency time.Duration
+}
+
+func (r routeCalls) counts() *callCounts {
+	c := newCallCounts()
+	for side := range r.ok {
+		h := newHistogram()
+		_ = h.RecordValues(int64(r.latency/latencyUnit), int64(r.ok[side]))
+		unpackBins(packBins(h), c.bins[side])
+		c.ok[side], c.bad[side] = float64(r.ok[side]), float64(r.bad[side])
+		c.calls[side] = c.ok[side] + c.bad[side]
+	}
+	return c
+}
+
+// compareRoutes adds n windows with the given calls by route.
+func compareRoutes(e *evaluation, share float64, n int, calls map[string]routeCalls) {
+	r := testRollout(sycamorevane.RolloutMoving, share)
+	for range n {
+		for route, c := range calls {
+			e.window[route] = c.counts()
+		}
+		e.compareWindow(r, Capacity{New: VersionCapacity{Servers: 20}})
+	}
+}
+
+func expectEvidence(t *testing.T, e *evaluation, bad bool) {
+	t.Helper()
+	evidence, reason := e.strongestEvidence()
+	if bad {
+		require.GreaterOrEqual(t, evidence, float64(revertThreshold), reason)
+	} else {
+		require.Less(t, evidence, float64(holdThreshold), reason)
+	}
+}
+
+// TestRareRoutesAreComparedWithTheSameRoutes guards against a good version that is reverted because its calls on rare routes
+// are calls of other routes than those of the old version.
+func TestRareRoutesAreComparedWithTheSameRoutes(t *testing.T) {
+	before := map[string]routeCalls{
+		"read":  {ok: [2]int{276, 24}, latency: usualLatency},
+		"check": {ok: [2]int{5, 1}, latency: time.Millisecond},
+		"fail":  {bad: [2]int{2, 0}},
+	}
+	read := routeCalls{ok: [2]int{30, 270}, latency: usualLatency}
+	for name, tc := range map[string]struct {
+		after map[string]routeCalls
+		bad   bool
+	}{
+		"a slower route appears":     {map[string]routeCalls{"check": {ok: [2]int{1, 5}, latency: time.Millisecond}, "report": {ok: [2]int{1, 8}, latency: slowLatency}}, false},
+		"a route that fails on both": {map[string]routeCalls{"check": {ok: [2]int{1, 0}, latency: time.Millisecond}, "fail": {bad: [2]int{0, 2}}}, false},
+		"a route turns slow":         {map[string]routeCalls{"check": {ok: [2]int{1, 5}, latency: slowLatency}}, true},
+		"a route fails":              {map[string]routeCalls{"check": {ok: [2]int{1, 0}, bad: [2]int{0, 5}, latency: time.Millisecond}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEvaluation("r1")
+			compareRoutes(e, 0.08, 20, before)
+			tc.after["read"] = read
+			compareRoutes(e, 0.9, 8, tc.after)
+			expectEvidence(t, e, tc.bad)
+		})
+	}
+}
