Usual errors on a route with few known calls are not held against a version

Cause: a route's error rate is that of the old version's calls on it, or 0.2% when none of them has failed. Of a rare route a few dozen calls are known, and a service with 4% errors often has none among them. Change: the service's error rate stands for the calls that are missing.

--- a/promoter/comparison.go
+++ b/promoter/comparison.go
@@ -199,6 +199,8 @@
 	servers int
 	// minErrorRate is the lowest error rate that is expected of the new version.
 	minErrorRate float64
+	// oldErrorRate is the old version's error rate over all routes. It stands for routes of which few calls are known.
+	oldErrorRate float64
 }
 
 // add applies one window.
@@ -220,7 +222,7 @@
 	if n == 0 {
 		return
 	}
-	p0 := max(c.expectedErrorRate(counts), cond.minErrorRate)
+	p0 := max(c.expectedErrorRate(counts, cond), cond.minErrorRate)
 	ratio := (likelihoodRatio(n, k, p0, scaleOdds(p0, 4)) +
 		likelihoodRatio(n, k, p0, max(0.2, scaleOdds(p0, 8))) +
 		likelihoodRatio(n, k, p0, max(0.6, scaleOdds(p0, 16)))) / 3
@@ -232,8 +234,8 @@
 
 // expectedErrorRate is the error rate that is expected of a version that is not worse. A window without errors of the old
 // version is often chance, so its rate over many windows is considered, too.
-func (c *comparison) expectedErrorRate(counts *callCounts) float64 {
-	usual := max(c.errorRate(), minErrorRate)
+func (c *comparison) expectedErrorRate(counts *callCounts, cond conditions) float64 {
+	usual := max(c.errorRate(), smoothedRate(c.errorsAndCalls[0], c.errorsAndCalls[1], cond.oldErrorRate), minErrorRate)
 	rate := max(smoothedRate(counts.bad[0], counts.calls[0], usual), usual)
 	if counts.calls[0] < 1 {
 		rate += unpairedErrorMargin
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -449,6 +449,7 @@
 		fullLoad:      1-r.Share >= baselineShare && r.Phase != sycamorevane.RolloutDone,
 		belowFullLoad: 1-r.Share < baselineShare || r.Phase == sycamorevane.RolloutDone,
 		servers:       capacity.New.Servers,
+		oldErrorRate:  e.all.errorRate(),
 	}
 	countShed := e.shedCountsAsFailure(cold)
 	for _, route := range slices.Sorted(maps.Keys(e.window)) {
@@ -467,7 +468,7 @@
 		group.add(counts, cond)
 		total.add(counts)
 	}
-	rare, expectedErrors := e.rareCounts()
+	rare, expectedErrors := e.rareCounts(cond)
 	rareCond := cond
 	if rare.calls[1] > 0 {
 		rareCond.minErrorRate = expectedErrors / rare.calls[1]
@@ -486,7 +487,7 @@
 
 // rareCounts adds up the window's counts of the rare routes that can be compared as a group, and the errors that are expected
 // of a version that is not worse.
-func (e *evaluation) rareCounts() (rare *callCounts, expectedErrors float64) {
+func (e *evaluation) rareCounts(cond conditions) (rare *callCounts, expectedErrors float64) {
 	var recentCalls [2]float64
 	for _, route := range slices.Sorted(maps.Keys(e.routes)) {
 		if group := e.routes[route]; e.isRare(group) {
@@ -501,7 +502,7 @@
 			continue
 		}
 		rare.add(counts)
-		expectedErrors += counts.calls[1] * group.expectedErrorRate(counts)
+		expectedErrors += counts.calls[1] * group.expectedErrorRate(counts, cond)
 	}
 	return rare, expectedErrors
 }
--- a/promoter/rare_routes_test.go
+++ b/promoter/rare_routes_test.go
@@ -75,3 +75,22 @@
 		})
 	}
 }
+
+// TestFewKnownCallsOfARoute guards against a good version that is reverted for usual errors on a route of which few calls of the
+// old version are known.
+func TestFewKnownCallsOfARoute(t *testing.T) {
+	for name, tc := range map[string]struct {
+		failed int
+		bad    bool
+	}{"usual errors": {2, false}, "most calls fail": {14, true}} {
+		t.Run(name, func(t *testing.T) {
+			e := newEvaluation("r1")
+			read := routeCalls{ok: [2]int{288, 24}, bad: [2]int{12, 1}, latency: usualLatency}
+			compareRoutes(e, 0.08, 20, map[string]routeCalls{"read": read, "rare": {ok: [2]int{1, 0}, latency: usualLatency}})
+			for range 3 {
+				compareRoutes(e, 0.9, 1, map[string]routeCalls{"read": read, "rare": {ok: [2]int{1, 18 - tc.failed}, bad: [2]int{0, tc.failed}, latency: usualLatency}})
+			}
+			expectEvidence(t, e, tc.bad)
+		})
+	}
+}
