Few calls of the old version do not excuse a slow part of the new one

Cause: acceptance expects as many calls in the tail as the old version has in the same window. At a share of 0.9 that is a few of some 30 calls; four that are slow by chance raise what is expected to 0.15, and a fifth of slow calls then counts as proof of a good version. Change: acceptance expects the share that an undisturbed version has. Windows in which the old version is disturbed already give none. Measured: the new case of TestSlowPartIsNotAccepted fails without the change.

--- a/promoter/comparison.go
+++ b/promoter/comparison.go
@@ -91,6 +91,10 @@
 // to meet the last one.
 var criteria = [...]criterion{{0.05, 3, 0.15}, {0.2, 6, 0.2}, {0.5, 6, 0.5}}
 
+// usualTailRate is the share of calls in the tail that is expected of an undisturbed version. Acceptance does not use the old
+// version's share in the same window: of the few calls that it has at a large share some are slow by chance.
+var usualTailRate = 1 - slowQuantiles[tailQuantile] + expectedRateMargin
+
 const (
 	strongCriterion = iota
 	weakCriterion
@@ -99,8 +103,7 @@
 
 // acceptanceCalls is the expected number of good calls until the criterion is met.
 func (c criterion) acceptanceCalls() float64 {
-	tail := 1 - slowQuantiles[tailQuantile] + expectedRateMargin
-	return -logBeta / min(c.errorIncrease, -logLikelihoodRatio(1, tail, tail, tail+c.tailIncrease))
+	return -logBeta / min(c.errorIncrease, -logLikelihoodRatio(1, usualTailRate, usualTailRate, usualTailRate+c.tailIncrease))
 }
 
 // binBounds holds the lowest and highest latency of each histogram index, in latencyUnit.
@@ -264,7 +267,7 @@
 	for i, crit := range criteria {
 		k, p0 := slow.over[acceptanceQuantile], slow.expectedRate[acceptanceQuantile]
 		c.slowAcceptance[i] = accept(c.slowAcceptance[i], slow.total, k, p0, scaleOdds(p0, crit.slowOdds))
-		k, p0 = slow.over[tailQuantile], slow.expectedRate[tailQuantile]
+		k, p0 = slow.over[tailQuantile], usualTailRate
 		c.tailAcceptance[i] = accept(c.tailAcceptance[i], slow.total, k, p0, min(p0+crit.tailIncrease, 0.95))
 	}
 }
--- a/promoter/slow_part_test.go
+++ b/promoter/slow_part_test.go
@@ -14,13 +14,18 @@
 
 // window counts 200 calls of the old version and 28 of the new one, with the given numbers of slow ones.
 func window(oldSlow, newSlow int) *callCounts {
+	return windowOf([2]int{200, 28}, [2]int{oldSlow, newSlow})
+}
+
+// windowOf counts calls by side, with the given numbers of slow ones.
+func windowOf(calls, slow [2]int) *callCounts {
 	c := newCallCounts()
-	for side, n := range [2][2]int{{200 - oldSlow, oldSlow}, {28 - newSlow, newSlow}} {
+	for side := range calls {
 		h := newHistogram()
-		_ = h.RecordValues(int64(usualLatency/latencyUnit), int64(n[0]))
-		_ = h.RecordValues(int64(slowLatency/latencyUnit), int64(n[1]))
+		_ = h.RecordValues(int64(usualLatency/latencyUnit), int64(calls[side]-slow[side]))
+		_ = h.RecordValues(int64(slowLatency/latencyUnit), int64(slow[side]))
 		unpackBins(packBins(h), c.bins[side])
-		c.calls[side] = float64(n[0] + n[1])
+		c.calls[side] = float64(calls[side])
 		c.ok[side] = c.calls[side]
 	}
 	return c
@@ -52,6 +57,12 @@
 		addWindows(c, 10, window(0, 7))
 		require.False(t, c.meets(weakCriterion), "the slow seconds are not the old version's usual latency")
 	})
+	t.Run("a fifth beside few calls of the old version", func(t *testing.T) {
+		c := newComparison()
+		addWindows(c, 20, window(4, 1))
+		addWindows(c, 4, windowOf([2]int{30, 270}, [2]int{3, 54}))
+		require.False(t, c.meets(weakCriterion))
+	})
 	t.Run("a version that becomes slow", func(t *testing.T) {
 		c := newComparison()
 		addWindows(c, 300, window(0, 0))
