A version that is slow on rare routes does not take over

Cause: a version that had got the calls that a bad version may get no longer needed calls on rare routes at all, and evidence of latency reverted only in full. Both were meant to end reverts of a good version, whose cause was the comparison of different rare routes. Change: the last step needs the rare routes to be good as a group, and calls of each of them or, when the limit is reached, of the group; latency of all calls reverts after the trial as errors do. A version whose rare routes are not shown to be good in time is reverted. Measured: TestLastShareNeedsRareRoutes and the new case of TestSlowCallsAfterTheTrialNeedFullEvidence fail without the change.

--- a/promoter/comparison.go
+++ b/promoter/comparison.go
@@ -33,9 +33,9 @@
 	// holdThreshold is the evidence that stops the share from growing. It takes more than one failed call of a rare
 	// route, which alone gives about 100 and decays slowly.
 	holdThreshold = 200
-	// limitedRevertThreshold is the evidence of errors that reverts a rollout after its trial when a bad version may get a
-	// limited number of calls. A few windows give 20 detectors less occasion for a false alarm than a long rollout. Latency
-	// does not count, since a good version is slower, too, while its share exceeds what its servers carry.
+	// limitedRevertThreshold is the evidence that reverts a rollout after its trial when a bad version may get a limited number
+	// of calls: errors, and the latency of all calls. A few windows give 20 detectors less occasion for a false alarm than a
+	// long rollout. The latency of single routes does not count, since a few calls on one disturbed server reach this value.
 	limitedRevertThreshold = 1e4
 	// initialHoldThreshold keeps the share of the first calls. While there are few, a single failed call reaches it.
 	initialHoldThreshold = 20
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -572,13 +572,19 @@
 	return evidence, "new version is worse: " + reason
 }
 
-// strongestErrorEvidence returns the strongest evidence over all groups of calls that the new version fails more of them.
-func (e *evaluation) strongestErrorEvidence() float64 {
-	evidence := max(e.all.errorEvidence, e.rare.errorEvidence)
+// limitedEvidence returns the strongest of the evidence that reverts a rollout at limitedRevertThreshold: errors of any group of
+// calls, and the latency of all calls.
+func (e *evaluation) limitedEvidence() (float64, string) {
+	evidence, what := e.all.strongestEvidence()
 	for _, group := range e.routes {
-		evidence = max(evidence, group.errorEvidence)
+		if group.errorEvidence > evidence {
+			evidence, what = group.errorEvidence, "errors"
+		}
+	}
+	if e.rare.errorEvidence > evidence {
+		evidence, what = e.rare.errorEvidence, "errors"
 	}
-	return evidence
+	return evidence, "new version is worse: " + what
 }
 
 // accepted reports whether the evidence accepts the version as good, as a whole and on each route. After
@@ -610,14 +616,19 @@
 	return e.callsAtShare >= initialCalls && e.windowsAtShare >= initialWindows
 }
 
-// routesCovered reports whether the evidence on single routes allows the last step. A version that has got the calls that
-// a bad version may get is not made to wait for calls on rare routes.
+// routesCovered reports whether the evidence on single routes allows the last step. Rare routes must be shown to be good as a
+// group. A version that has got the calls that a bad version may get is not made to wait for calls on each of them.
 func (e *evaluation) routesCovered(now time.Time, r sycamorevane.Rollout) bool {
-	if elapsed(now, r) >= skipRoutesFraction || e.exposure.spent(r) {
+	isLate := elapsed(now, r) >= skipRoutesFraction
+	if e.rare.newCalls > 0 && !e.rare.meets(routeCriterion) {
+		return isLate && e.rare.newCalls < minRouteCalls
+	}
+	if isLate {
 		return true
 	}
+	isGroupCovered := e.exposure.spent(r) && e.rare.newCalls >= minRouteCalls
 	for _, group := range e.routes {
-		if group.newCalls < minRouteCalls {
+		if group.newCalls < minRouteCalls && !(isGroupCovered && e.isRare(group)) {
 			return false
 		}
 	}
@@ -715,8 +726,10 @@
 }
 
 func (e *evaluation) decideMoving(now time.Time, r sycamorevane.Rollout, s Step) Step {
-	if evidence := e.strongestErrorEvidence(); evidence >= limitedRevertThreshold && e.exposure.limit.IsSet() {
-		return revert(s, "new version is worse: errors")
+	if e.exposure.limit.IsSet() {
+		if evidence, reason := e.limitedEvidence(); evidence >= limitedRevertThreshold {
+			return revert(s, reason)
+		}
 	}
 	if evidence, _ := e.strongestEvidence(); evidence >= holdThreshold {
 		s.Reason = "held: evidence against the new version"
--- a/promoter/failures_test.go
+++ b/promoter/failures_test.go
@@ -159,15 +159,16 @@
 	}
 }
 
-// TestSlowCallsAfterTheTrialNeedFullEvidence guards against a good version that is reverted because its servers are full for
-// a few seconds.
+// TestSlowCallsAfterTheTrialNeedFullEvidence guards against a good version that is reverted for a few slow calls of one route, and
+// against a version that gets calls for further seconds although all of them are slow.
 func TestSlowCallsAfterTheTrialNeedFullEvidence(t *testing.T) {
 	for name, tc := range map[string]struct {
-		errors, latency float64
-		want            sycamorevane.RolloutPhase
+		errors, latency, latencyOfAll float64
+		want                          sycamorevane.RolloutPhase
 	}{
-		"errors":  {2 * limitedRevertThreshold, 0, sycamorevane.RolloutReverting},
-		"latency": {0, 2 * limitedRevertThreshold, sycamorevane.RolloutMoving},
+		"errors":               {2 * limitedRevertThreshold, 0, 0, sycamorevane.RolloutReverting},
+		"latency of a route":   {0, 2 * limitedRevertThreshold, 0, sycamorevane.RolloutMoving},
+		"latency of all calls": {0, 0, 2 * limitedRevertThreshold, sycamorevane.RolloutReverting},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newHarness(sycamorevane.RolloutMoving, 0.5)
@@ -175,8 +176,10 @@
 			for range 2 {
 				b.runSecond(100, 100, sycamorevane.OutcomeOK)
 			}
-			group := b.core.evaluations["flagboard"].routes["read"]
+			e := b.core.evaluations["flagboard"]
+			group := e.routes["read"]
 			group.errorEvidence, group.tailEvidence = tc.errors, tc.latency
+			e.all.shiftEvidence = tc.latencyOfAll
 			b.decide()
 			require.Equal(t, tc.want, b.rollout.Phase)
 		})
--- a/promoter/rare_routes_test.go
+++ b/promoter/rare_routes_test.go
@@ -94,3 +94,42 @@
 		})
 	}
 }
+
+// TestLastShareNeedsRareRoutes guards against a version that takes over although its calls on rare routes are slow, and against a
+// good one that waits for calls on each of many rare routes.
+func TestLastShareNeedsRareRoutes(t *testing.T) {
+	fast, slow := routeCalls{ok: [2]int{1, 2}, latency: usualLatency}, routeCalls{ok: [2]int{1, 2}, latency: slowLatency}
+	one, two := map[string]routeCalls{"a": fast}, map[string]routeCalls{"a": fast, "b": fast}
+	for name, tc := range map[string]struct {
+		rare    map[string]routeCalls
+		windows int
+		spent   bool
+		elapsed float64
+		want    bool
+	}{
+		"good":                      {one, 6, false, 0.5, true},
+		"too few calls":             {one, 3, true, 0.5, false},
+		"too few calls, late":       {one, 3, true, skipRoutesFraction, true},
+		"enough calls of the group": {two, 4, true, 0.5, true},
+		"the limit is not reached":  {two, 4, false, 0.5, false},
+		"slow":                      {map[string]routeCalls{"a": slow}, 6, true, 0.5, false},
+		"slow, late":                {map[string]routeCalls{"a": slow}, 6, true, skipRoutesFraction, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEvaluation("r1")
+			before := map[string]routeCalls{"read": {ok: [2]int{276, 24}, latency: usualLatency}}
+			after := map[string]routeCalls{"read": {ok: [2]int{30, 270}, latency: usualLatency}}
+			for route, calls := range tc.rare {
+				before[route], after[route] = routeCalls{ok: [2]int{5, 0}, latency: usualLatency}, calls
+			}
+			compareRoutes(e, 0.08, 30, before)
+			compareRoutes(e, 0.9, tc.windows, after)
+			if tc.spent {
+				e.exposure = exposure{limit: ExposureLimit{Calls: 1}, newCalls: 2}
+			}
+			r := testRollout(sycamorevane.RolloutMoving, 0.9)
+			now := time.UnixMilli(r.StartedAt).Add(time.Duration(tc.elapsed * float64(allowedTime(r))))
+			require.Equal(t, tc.want, e.routesCovered(now, r))
+		})
+	}
+}
