A version that begins to fail after the trial is reverted on less evidence

Change: after the trial of a rollout with a limit, 2e3 reverts, in windows (1e4 before) and between them (2e6). Measured: a new case of TestFailuresBetweenDecisions fails without the change.

--- a/promoter/comparison.go
+++ b/promoter/comparison.go
@@ -36,7 +36,7 @@
 	// limitedRevertThreshold is the evidence that reverts a rollout after its trial when a bad version may get a limited number
 	// of calls: errors, and the latency of all calls. A few windows give 20 detectors less occasion for a false alarm than a
 	// long rollout. The latency of single routes does not count, since a few calls on one disturbed server reach this value.
-	limitedRevertThreshold = 1e4
+	limitedRevertThreshold = 2e3
 	// initialHoldThreshold keeps the share of the first calls. While there are few, a single failed call reaches it.
 	initialHoldThreshold = 20
 	// logBeta is the log of the probability of accepting a version as good although its rates are as bad as the
--- a/promoter/core.go
+++ b/promoter/core.go
@@ -390,7 +390,7 @@
 	if reason, bad := e.revertReason(); bad {
 		return revert(s, reason)
 	}
-	if reason, bad := e.obviousFailure(); bad {
+	if reason, bad := e.obviousFailure(r); bad {
 		return revert(s, reason)
 	}
 	if now.UnixMilli() >= r.Deadline {
--- a/promoter/failures.go
+++ b/promoter/failures.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 
 	"sycamorevane.example/sycamorevane"
@@ -124,15 +125,19 @@
 // obviousFailure returns the reason to revert the rollout when so many answers of the new version are failures that no
 // test of whole windows is needed. The comparison of all outcomes can be blurred by timeouts on both sides while servers
 // are full.
-func (e *evaluation) obviousFailure() (string, bool) {
+func (e *evaluation) obviousFailure(r sycamorevane.Rollout) (string, bool) {
+	threshold := alarmScore
+	if r.Phase == sycamorevane.RolloutMoving && e.exposure.limit.IsSet() {
+		threshold = math.Log(limitedRevertThreshold)
+	}
 	if e.answers.obviouslyBad() {
 		return "new version answers " + percent(e.answers.failureRate(1)) + " of its calls with failures", true
 	}
-	if e.score >= alarmScore {
+	if e.score >= threshold {
 		return "new version now fails many calls", true
 	}
 	for _, route := range slices.Sorted(maps.Keys(e.routeScores)) {
-		if e.routeScores[route] >= alarmScore {
+		if e.routeScores[route] >= threshold {
 			return fmt.Sprintf("new version now fails many calls of route %q", route), true
 		}
 	}
@@ -148,7 +153,7 @@
 		if e == nil || e.id != r.ID || r.Phase != sycamorevane.RolloutTrial && r.Phase != sycamorevane.RolloutMoving {
 			continue
 		}
-		if reason, bad := e.obviousFailure(); bad {
+		if reason, bad := e.obviousFailure(r); bad {
 			steps[service] = revert(unchanged(r), reason)
 		}
 	}
--- a/promoter/failures_test.go
+++ b/promoter/failures_test.go
@@ -27,21 +27,27 @@
 // TestFailuresBetweenDecisions guards against a version that gets calls for seconds after it has begun to fail, and against
 // a revert for failures that have another cause.
 func TestFailuresBetweenDecisions(t *testing.T) {
+	limit := ExposureLimit{Share: 0.1, Calls: 50}
 	for name, tc := range map[string]struct {
 		phase      sycamorevane.RolloutPhase
+		limit      ExposureLimit
 		ok, failed [2]uint32
 		want       bool
 	}{
-		"half fails":               {sycamorevane.RolloutMoving, [2]uint32{20, 20}, [2]uint32{0, 20}, true},
-		"a quarter fails":          {sycamorevane.RolloutMoving, [2]uint32{20, 75}, [2]uint32{0, 25}, true},
-		"few failures":             {sycamorevane.RolloutMoving, [2]uint32{20, 95}, [2]uint32{0, 5}, false},
-		"a tenth fails":            {sycamorevane.RolloutMoving, [2]uint32{20, 90}, [2]uint32{0, 10}, false},
-		"the old version does too": {sycamorevane.RolloutMoving, [2]uint32{100, 75}, [2]uint32{40, 25}, false},
-		"taken over":               {sycamorevane.RolloutDone, [2]uint32{0, 20}, [2]uint32{0, 20}, false},
+		"half fails":               {sycamorevane.RolloutMoving, ExposureLimit{}, [2]uint32{20, 20}, [2]uint32{0, 20}, true},
+		"a quarter fails":          {sycamorevane.RolloutMoving, ExposureLimit{}, [2]uint32{20, 75}, [2]uint32{0, 25}, true},
+		"few failures":             {sycamorevane.RolloutMoving, ExposureLimit{}, [2]uint32{20, 95}, [2]uint32{0, 5}, false},
+		"a tenth fails":            {sycamorevane.RolloutMoving, ExposureLimit{}, [2]uint32{20, 90}, [2]uint32{0, 10}, false},
+		"the old version does too": {sycamorevane.RolloutMoving, ExposureLimit{}, [2]uint32{100, 75}, [2]uint32{40, 25}, false},
+		"some failures, no limit":  {sycamorevane.RolloutMoving, ExposureLimit{}, [2]uint32{20, 60}, [2]uint32{0, 15}, false},
+		"some failures":            {sycamorevane.RolloutMoving, limit, [2]uint32{20, 60}, [2]uint32{0, 15}, true},
+		"some failures, trial":     {sycamorevane.RolloutTrial, limit, [2]uint32{20, 60}, [2]uint32{0, 15}, false},
+		"few failures, limit":      {sycamorevane.RolloutMoving, limit, [2]uint32{20, 95}, [2]uint32{0, 5}, false},
+		"taken over":               {sycamorevane.RolloutDone, ExposureLimit{}, [2]uint32{0, 20}, [2]uint32{0, 20}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			core := NewCore()
-			in := Input{Now: time.Unix(1e9, 0), Rollouts: rolloutMap(testRollout(tc.phase, 0.9))}
+			in := Input{Now: time.Unix(1e9, 0), Rollouts: rolloutMap(testRollout(tc.phase, 0.9)), Exposure: tc.limit}
 			core.Step(in)
 			core.Add("e1", evidence(1, [2]uint32{2000, 2000}, [2]uint32{}))
 			in.Now = in.Now.Add(time.Second)
