The last calls of an entry that stops are reported

Entries that restart in turn lose what they observed since their last report, up to a second of calls and failures of a new version each. Cause: an entry that stops ended its reports without a last one. Change: after its last call it reports once more, for 20 ms at most, of 60 ms that are reserved for closing. Measured: TestLastCallsOfAnEntryAreReported fails without the report (0 of 3 failures counted). That the entry's stop calls it is not tested by itself.

--- a/promoter/driver.go
+++ b/promoter/driver.go
@@ -20,6 +20,8 @@
 	submitTimeout = 3 * time.Second
 	// alarmDelay is the time from an alarm to the report, in which failures of the same moment are collected.
 	alarmDelay = 100 * time.Millisecond
+	// flushTime bounds the last report of an entry. It must fit into the time that is reserved for closing after the last call.
+	flushTime = 20 * time.Millisecond
 	// alarmInterval is the least time between two decisions on reports of failures, which may come from hundreds of entries.
 	alarmInterval = 50 * time.Millisecond
 )
@@ -236,6 +238,13 @@
 	}
 }
 
+// Flush reports what has been observed since the last report. An entry that stops calls it after its last call.
+func (r *Reporter) Flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	r.report(ctx)
+}
+
 // Close stops the reports.
 func (r *Reporter) Close() {
 	r.stop()
--- a/promoter/failures_test.go
+++ b/promoter/failures_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
 
 	"sycamorevane.example/sycamorevane"
 	"sycamorevane.example/sycamorevane/encoder"
@@ -103,6 +104,27 @@
 	})
 }
 
+func newTestReporter(transport *localTransport, c *Collector) *Reporter {
+	return NewReporter(ReporterConfig{Transport: transport, Collector: c, Log: logr.Discard(), LeaderName: func() string { return "c1" }})
+}
+
+// TestLastCallsOfAnEntryAreReported guards against calls of a bad version that are not counted because their entry stops.
+func TestLastCallsOfAnEntryAreReported(t *testing.T) {
+	c, _ := newTestCollector()
+	transport := &localTransport{}
+	core := NewCore()
+	core.Step(Input{Now: time.Unix(1e9, 0), Rollouts: rolloutMap(testRollout(sycamorevane.RolloutMoving, 0.9))})
+	transport.Handle(&encoder.Evidence{}, func(from string, m proto.Message) proto.Message {
+		return core.Add(from, m.(*encoder.Evidence))
+	})
+	r := newTestReporter(transport, c)
+	observe(c, "2", sycamorevane.OutcomeFailed, 3)
+	r.Flush()
+	r.Close()
+	require.InDelta(t, 3, core.evaluations["flagboard"].answers.failures[1], 0)
+	require.Nil(t, c.Summary(), "reported calls are acknowledged")
+}
+
 // TestFailuresAreReportedAndActedOnAtOnce guards against reports of failures, and decisions on them, that wait for the next
 // interval.
 func TestFailuresAreReportedAndActedOnAtOnce(t *testing.T) {
@@ -121,7 +143,7 @@
 			return nil
 		},
 	})
-	r := NewReporter(ReporterConfig{Transport: transport, Collector: c, Log: logr.Discard(), LeaderName: func() string { return "c1" }})
+	r := newTestReporter(transport, c)
 	ctx, stop := context.WithCancel(context.Background())
 	defer p.wg.Wait()
 	defer stop()
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -407,6 +407,7 @@
 		_ = e.callerServer.Close()
 	}
 	_ = e.readyServer.Close()
+	e.evidenceReporter.Flush()
 	e.evidenceReporter.Close()
 	if e.placement != nil {
 		e.placement.Close()
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -176,6 +176,7 @@
 	}
 	err := e.callerListener.shutdown(ctx)
 	_ = e.announceListener.shutdown(ctx)
+	e.evidenceReporter.Flush()
 	e.closeComponents()
 	return err
 }
