--- a/promoter/core.go
+++ b/promoter/core.go
@@ -42,8 +42,8 @@
 	lateStartFraction      = 0.4
 	// rareRouteShare is the share of the service's calls below which a route counts as rare.
 	rareRouteShare = 0.05
-	// minReferenceRatio bounds the part that a route has of the new version's calls on rare routes, relative to its part of the
-	// old version's calls on them. Beyond it the group would compare different routes.
+	// minReferenceRatio is the least part that a rare route must have of the old version's calls on rare routes, relative to
+	// its part of the new version's, to belong to their group. Otherwise the group would compare different routes.
 	minReferenceRatio = 0.5
 	// pooledRoutesFraction is the fraction of the allowed time after which rare routes are accepted as a group.
 	pooledRoutesFraction = 0.25
--- a/promoter/failures_test.go
+++ b/promoter/failures_test.go
@@ -187,33 +187,41 @@
 	}
 }
 
-// TestSlowCallsAfterTheTrialNeedFullEvidence guards against a good version that is reverted for a few slow calls of one route, and
-// against a version that gets calls for further seconds although all of them are slow.
+// expectPhaseAfterTrial checks the decision on a rollout with a limit and the evidence that set adds.
+func expectPhaseAfterTrial(t *testing.T, want sycamorevane.RolloutPhase, set func(*evaluation)) {
+	t.Helper()
+	b := newHarness(sycamorevane.RolloutMoving, 0.5)
+	b.exposure = ExposureLimit{Share: 0.1, Calls: 50}
+	for range 2 {
+		b.runSecond(100, 100, sycamorevane.OutcomeOK)
+	}
+	set(b.core.evaluations["flagboard"])
+	b.decide()
+	require.Equal(t, want, b.rollout.Phase)
+}
+
+// TestSlowCallsAfterTheTrialNeedFullEvidence guards against a good version that is reverted for a few slow calls of one route.
 func TestSlowCallsAfterTheTrialNeedFullEvidence(t *testing.T) {
 	for name, tc := range map[string]struct {
-		errors, latency, latencyOfAll float64
-		want                          sycamorevane.RolloutPhase
+		errors, latency float64
+		want            sycamorevane.RolloutPhase
 	}{
-		"errors":               {2 * limitedRevertThreshold, 0, 0, sycamorevane.RolloutReverting},
-		"latency of a route":   {0, 2 * limitedRevertThreshold, 0, sycamorevane.RolloutMoving},
-		"latency of all calls": {0, 0, 2 * limitedRevertThreshold, sycamorevane.RolloutReverting},
+		"errors":  {2 * limitedRevertThreshold, 0, sycamorevane.RolloutReverting},
+		"latency": {0, 2 * limitedRevertThreshold, sycamorevane.RolloutMoving},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newHarness(sycamorevane.RolloutMoving, 0.5)
-			b.exposure = ExposureLimit{Share: 0.1, Calls: 50}
-			for range 2 {
-				b.runSecond(100, 100, sycamorevane.OutcomeOK)
-			}
-			e := b.core.evaluations["flagboard"]
-			group := e.routes["read"]
-			group.errorEvidence, group.tailEvidence = tc.errors, tc.latency
-			e.all.shiftEvidence = tc.latencyOfAll
-			b.decide()
-			require.Equal(t, tc.want, b.rollout.Phase)
+			expectPhaseAfterTrial(t, tc.want, func(e *evaluation) {
+				e.routes["read"].errorEvidence, e.routes["read"].tailEvidence = tc.errors, tc.latency
+			})
 		})
 	}
 }
 
+// TestSlowVersionIsRevertedAfterTheTrial guards against a version that gets calls for further seconds although all are slow.
+func TestSlowVersionIsRevertedAfterTheTrial(t *testing.T) {
+	expectPhaseAfterTrial(t, sycamorevane.RolloutReverting, func(e *evaluation) { e.all.shiftEvidence = 2 * limitedRevertThreshold })
+}
+
 // TestNewLeaderCountsEarlierCalls guards against a leader that takes a limit for unused because it has seen no calls.
 func TestNewLeaderCountsEarlierCalls(t *testing.T) {
 	b := newHarness(sycamorevane.RolloutMoving, 0.9)
