--- a/promoter/exposure_test.go
+++ b/promoter/exposure_test.go
@@ -137,8 +137,7 @@
 	x.reasons[string(r.phase)+": "+r.reason]++
 }
 
-// TestExposure guards against a bad version that gets more calls than it may until its deadline, and against a good one
-// that is not done in time.
+// Guards against a bad version that gets more calls than it may until its deadline, and a good one that is not done in time.
 func TestExposure(t *testing.T) {
 	seeds := 3
 	if n, err := strconv.Atoi(os.Getenv("PROMOTER_SEEDS")); err == nil {
--- a/promoter/failures_test.go
+++ b/promoter/failures_test.go
@@ -25,8 +25,7 @@
 	return &encoder.Evidence{Boot: 1, Windows: []*encoder.EvidenceWindow{{Sequence: sequence, Moves: []*encoder.EvidenceMove{m}}}}
 }
 
-// TestFailuresBetweenDecisions guards against a version that gets calls for seconds after it has begun to fail, and against
-// a revert for failures that have another cause.
+// Guards against a version that gets calls for seconds after it has begun to fail, and a revert for failures of another cause.
 func TestFailuresBetweenDecisions(t *testing.T) {
 	limit := ExposureLimit{Share: 0.1, Calls: 50}
 	for name, tc := range map[string]struct {
@@ -125,8 +124,7 @@
 	require.Nil(t, c.Summary(), "reported calls are acknowledged")
 }
 
-// TestFailuresAreReportedAndActedOnAtOnce guards against reports of failures, and decisions on them, that wait for the next
-// interval.
+// Guards against reports of failures, and decisions on them, that wait for the next interval.
 func TestFailuresAreReportedAndActedOnAtOnce(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	c, clock := newTestCollector()
--- a/promoter/rare_routes_test.go
+++ b/promoter/rare_routes_test.go
@@ -48,8 +48,7 @@
 	}
 }
 
-// TestRareRoutesAreComparedWithTheSameRoutes guards against a good version that is reverted because its calls on rare routes
-// are calls of other routes than those of the old version.
+// Guards against a good version that is reverted because its rare routes are compared with other rare routes.
 func TestRareRoutesAreComparedWithTheSameRoutes(t *testing.T) {
 	before := map[string]routeCalls{
 		"read":  {ok: [2]int{276, 24}, latency: usualLatency},
@@ -61,10 +60,18 @@
 		after map[string]routeCalls
 		bad   bool
 	}{
-		"a slower route appears":     {map[string]routeCalls{"check": {ok: [2]int{1, 5}, latency: time.Millisecond}, "report": {ok: [2]int{1, 8}, latency: slowLatency}}, false},
-		"a route that fails on both": {map[string]routeCalls{"check": {ok: [2]int{1, 0}, latency: time.Millisecond}, "fail": {bad: [2]int{0, 2}}}, false},
-		"a route turns slow":         {map[string]routeCalls{"check": {ok: [2]int{1, 5}, latency: slowLatency}}, true},
-		"a route fails":              {map[string]routeCalls{"check": {ok: [2]int{1, 0}, bad: [2]int{0, 5}, latency: time.Millisecond}}, true},
+		"a slower route appears": {map[string]routeCalls{
+			"check":  {ok: [2]int{1, 5}, latency: time.Millisecond},
+			"report": {ok: [2]int{1, 8}, latency: slowLatency},
+		}, false},
+		"a route that fails on both": {map[string]routeCalls{
+			"check": {ok: [2]int{1, 0}, latency: time.Millisecond},
+			"fail":  {bad: [2]int{0, 2}},
+		}, false},
+		"a route turns slow": {map[string]routeCalls{"check": {ok: [2]int{1, 5}, latency: slowLatency}}, true},
+		"a route fails": {map[string]routeCalls{
+			"check": {ok: [2]int{1, 0}, bad: [2]int{0, 5}, latency: time.Millisecond},
+		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newEvaluation("r1")
@@ -76,8 +83,7 @@
 	}
 }
 
-// TestFewKnownCallsOfARoute guards against a good version that is reverted for usual errors on a route of which few calls of the
-// old version are known.
+// Guards against a good version that is reverted for usual errors on a route with few known calls of the old version.
 func TestFewKnownCallsOfARoute(t *testing.T) {
 	for name, tc := range map[string]struct {
 		failed int
@@ -95,8 +101,7 @@
 	}
 }
 
-// TestLastShareNeedsRareRoutes guards against a version that takes over although its calls on rare routes are slow, and against a
-// good one that waits for calls on each of many rare routes.
+// Guards against a version that takes over although rare routes are slow, and a good one that waits for each of many routes.
 func TestLastShareNeedsRareRoutes(t *testing.T) {
 	fast, slow := routeCalls{ok: [2]int{1, 2}, latency: usualLatency}, routeCalls{ok: [2]int{1, 2}, latency: slowLatency}
 	one, two := map[string]routeCalls{"a": fast}, map[string]routeCalls{"a": fast, "b": fast}
