A late rollout does not wait for latencies of rare routes

After 0.7 of the time it still asked for the rare routes to be accepted as a group when ten of their calls were known. Change: after 0.7 of the time the last step needs no evidence on single routes, as before; evidence against the version still holds it. Measured: TestLateRolloutDoesNotWaitForLatenciesOfRareRoutes fails without the change.

--- a/promoter/core.go
+++ b/promoter/core.go
@@ -619,13 +619,12 @@
 // routesCovered reports whether the evidence on single routes allows the last step. Rare routes must be shown to be good as a
 // group. A version that has got the calls that a bad version may get is not made to wait for calls on each of them.
 func (e *evaluation) routesCovered(now time.Time, r sycamorevane.Rollout) bool {
-	isLate := elapsed(now, r) >= skipRoutesFraction
-	if e.rare.newCalls > 0 && !e.rare.meets(routeCriterion) {
-		return isLate && e.rare.newCalls < minRouteCalls
-	}
-	if isLate {
+	if elapsed(now, r) >= skipRoutesFraction {
 		return true
 	}
+	if e.rare.newCalls > 0 && !e.rare.meets(routeCriterion) {
+		return false
+	}
 	isGroupCovered := e.exposure.spent(r) && e.rare.newCalls >= minRouteCalls
 	for _, group := range e.routes {
 		if group.newCalls < minRouteCalls && !(isGroupCovered && e.isRare(group)) {
