--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,7 +20,7 @@
 var cases = map[string]func(rec *recorder, trouble bool) (broken bool, err error){
 	"evacuation": runEvacuation,
 	"leavers":    runLeavers,
-	"paths":      runPaths,
+	"innocent":   runInnocent,
 	"busy":       runBusyTarget,
 	"pipeline":   runBrokenPipeline,
 }
--- a/review/rig/pipeline.go
+++ b/review/rig/pipeline.go
@@ -177,7 +177,7 @@
 // runBrokenPipeline lets consumers send four safe requests at a time on kept connections while some targets break off answers.
 func runBrokenPipeline(rec *recorder, trouble bool) (bool, error) {
 	g := &garbler{broken: make(map[string]bool), enabled: trouble}
-	d, log, stop, err := startSystemWith(rec, 6, []route{{"/lohu930/", "safe", "huvo11a", 2000}}, func(*http.Request) time.Duration { return 60 * time.Millisecond }, g.respond)
+	d, log, stop, err := startSystemWith(rec, 6, 9, []route{{"/lohu930/", "safe", "huvo11a", 2000}}, func(*http.Request) time.Duration { return 60 * time.Millisecond }, g.respond)
 	if stop != nil {
 		defer stop()
 	}
--- a/review/rig/refused.go
+++ b/review/rig/refused.go
@@ -40,7 +40,7 @@
 		}
 	}
 	work := func(*http.Request) time.Duration { return 60 * time.Millisecond }
-	d, log, stop, err := startSystemWith(rec, 6, []route{{"/order/", "unsafe", "huvo11a", 2000}}, work, respond)
+	d, log, stop, err := startSystemWith(rec, 6, 9, []route{{"/order/", "unsafe", "huvo11a", 2000}}, work, respond)
 	if stop != nil {
 		defer stop()
 	}
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -7,12 +7,12 @@
 
 // startSystem starts a small deployment with one service and waits until it serves. Requests take what work returns.
 func startSystem(rec *recorder, entries int, routes []route, work func(*http.Request) time.Duration) (*deployment, *runLog, func(), error) {
-	return startSystemWith(rec, entries, routes, work, nil)
+	return startSystemWith(rec, entries, 9, routes, work, nil)
 }
 
-// startSystemWith is startSystem with targets that write their answers by themselves, unless respond is nil.
+// startSystemWith is startSystem with a number of targets, which write their answers by themselves unless respond is nil.
 func startSystemWith(
-	rec *recorder, entries int, routes []route, work func(*http.Request) time.Duration,
+	rec *recorder, entries, servers int, routes []route, work func(*http.Request) time.Duration,
 	respond func(*target) func(http.ResponseWriter, *http.Request) bool,
 ) (*deployment, *runLog, func(), error) {
 	d, err := newDeployment(rec, 5, entries)
@@ -30,7 +30,7 @@
 	if err := d.startAll(); err != nil {
 		return d, log, stop, err
 	}
-	for i := range 9 {
+	for i := range servers {
 		t := newTarget(d, log, "huvo11a", zones[i%len(zones)], i, work)
 		if respond != nil {
 			t.respond = respond(t)
