An order that its caller has given up does not undo a later one

Cause: a command in the log says what to do and not when its sender asked for it. The suspended host read the order from its socket, and its handler had sent the command to the leader before the close of the connection cancelled its context.

Change: before it proposes a command, the administrator asks whether the caller still waits; the kernel tells when the last byte of the request arrived and whether the caller has closed (package inspector). The command carries the index that the host had applied before this check, and the state machine drops it if a later one on the same data centre or service was decided.

Why it works: a caller that waits has sent no later order, so that any later one has a higher index than the one read before the check, wherever the command waits after it: handler, session, leader or disk.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -43,6 +43,12 @@
 	State func() *sycamorevane.State
 	// Propose commits a command and returns its encoded outcome.
 	Propose func(ctx context.Context, data []byte) ([]byte, error)
+	// AppliedIndex returns the log index of the last command in State.
+	AppliedIndex func() uint64
+	// CallerWaits returns nil if the caller whose command ctx belongs to still waits for the response, else the reason. A
+	// command whose caller has given up must not be proposed: the caller may have sent a later one to another host. Nil
+	// means that callers always wait.
+	CallerWaits func(ctx context.Context) error
 	// ReadBarrier returns when this host has applied every command that was acknowledged before the call.
 	ReadBarrier func(ctx context.Context) error
 	// Versions returns the announced slots per version of a service.
@@ -133,7 +139,9 @@
 	if drain {
 		op = applier.OpDrain
 	}
-	return a.commit(ctx, applier.Command{Op: op, Args: applier.Args{DC: dc}, Force: true})
+	return a.commitInOrder(ctx, func() (*applier.Command, error) {
+		return &applier.Command{Op: op, Args: applier.Args{DC: dc}, Force: true}, nil
+	})
 }
 
 // StartRollout starts a rollout of a service to a version with the given time limit. Sending the same command again is
@@ -142,22 +150,27 @@
 	if err := a.cfg.ReadBarrier(ctx); err != nil {
 		return &UnavailableError{Reason: err.Error()}
 	}
+	return a.commitInOrder(ctx, func() (*applier.Command, error) { return a.rolloutCommand(service, version, timeLimit) })
+}
+
+// rolloutCommand returns the command that starts a rollout, or nil if the rollout was started before.
+func (a *Administrator) rolloutCommand(service, version string, timeLimit time.Duration) (*applier.Command, error) {
 	now := a.cfg.Clock.Now()
 	if r, ok := a.cfg.State().Rollouts[service]; ok {
 		recent := now.Sub(time.UnixMilli(r.ChangedAt)) < resendWindow
 		switch {
 		case r.ToVersion == version && (!r.Phase.Terminal() || recent):
-			return nil
+			return nil, nil
 		case !r.Phase.Terminal() && r.Phase != sycamorevane.RolloutReverting:
-			return &ConflictError{Reason: fmt.Sprintf("service %q moves to %q", service, r.ToVersion)}
+			return nil, &ConflictError{Reason: fmt.Sprintf("service %q moves to %q", service, r.ToVersion)}
 		}
 	}
-	return a.commit(ctx, applier.Command{
+	return &applier.Command{
 		Op: applier.OpRollout, Force: true,
 		Args: applier.Args{
 			Service: service, ToVersion: version, Deadline: now.Add(timeLimit).UnixMilli(), Versions: a.cfg.Versions(service), Irreversible: true,
 		},
-	})
+	}, nil
 }
 
 // Rollout returns the latest rollout of a service. Errors: *UnavailableError.
@@ -184,6 +197,47 @@
 	return isRecorded() && a.cfg.ReadBarrier(ctx) == nil && isRecorded()
 }
 
+// commitInOrder commits the command that newCommand returns, or nothing if it returns nil. The command takes effect only if
+// no other one on the same subject was decided since the caller was known to wait; otherwise newCommand is called again
+// with the current state.
+func (a *Administrator) commitInOrder(ctx context.Context, newCommand func() (*applier.Command, error)) error {
+	for {
+		// Read before the check: a caller that waits has sent no later command, so that any later one gets a higher index.
+		seen := a.cfg.AppliedIndex()
+		if err := a.checkCaller(ctx); err != nil {
+			return err
+		}
+		c, err := newCommand()
+		if c == nil || err != nil {
+			return err
+		}
+		c.SeenIndex = &seen
+		var stale *staleError
+		if err := a.commit(ctx, *c); !errors.As(err, &stale) {
+			return err
+		}
+		if err := a.cfg.ReadBarrier(ctx); err != nil {
+			return &UnavailableError{Reason: err.Error()}
+		}
+	}
+}
+
+func (a *Administrator) checkCaller(ctx context.Context) error {
+	if a.cfg.CallerWaits == nil {
+		return nil
+	}
+	if err := a.cfg.CallerWaits(ctx); err != nil {
+		a.cfg.Log.Info("order dropped, its caller no longer waits", "reason", err.Error())
+		return &UnavailableError{Reason: err.Error()}
+	}
+	return nil
+}
+
+// staleError reports that a command had no effect because it was based on an outdated state.
+type staleError struct{ Reason string }
+
+func (e *staleError) Error() string { return "order is outdated: " + e.Reason }
+
 func (a *Administrator) commit(ctx context.Context, c applier.Command) error {
 	c.Actor, c.AcceptedAt = "operator", a.cfg.Clock.Now().UnixMilli()
 	c.ID = fmt.Sprintf("%016x", rand.Uint64())
@@ -201,8 +255,11 @@
 		return &UnavailableError{Reason: errors.Trace(err).Error()}
 	}
 	a.cfg.Log.Info("order decided", "op", c.Op, "what", o.Description, "outcome", string(o.Result), "reason", o.Reason, "version", o.Version)
-	if o.Result == applier.ResultRefused {
+	switch o.Result {
+	case applier.ResultRefused:
 		return &InvalidError{Reason: o.Reason}
+	case applier.ResultStale:
+		return &staleError{Reason: o.Reason}
 	}
 	return nil
 }
--- a/administrator/administrator_test.go
+++ b/administrator/administrator_test.go
@@ -40,7 +40,7 @@
 func newAdministrator() (*Administrator, *fakeControl) {
 	c := &fakeControl{machine: applier.New(), now: time.UnixMilli(1_000_000)}
 	return New(Config{
-		State: c.machine.State, Propose: c.propose, Clock: c, Log: logr.Discard(),
+		State: c.machine.State, AppliedIndex: c.machine.Index, Propose: c.propose, Clock: c, Log: logr.Discard(),
 		ReadBarrier: func(context.Context) error {
 			if c.disconnected {
 				return errors.New("no leader")
@@ -221,19 +221,31 @@
 	t.Helper()
 	current, c = newAdministrator()
 	prepare(current)
-	applied := c.machine.State()
+	applied, index := c.machine.State(), c.machine.Index()
 	cfg := current.cfg
 	cfg.State = func() *sycamorevane.State { return applied }
+	cfg.AppliedIndex = func() uint64 { return index }
 	cfg.ReadBarrier = func(context.Context) error {
 		if c.disconnected {
 			return errors.New("no leader")
 		}
-		applied = c.machine.State()
+		applied, index = c.machine.State(), c.machine.Index()
 		return nil
 	}
 	return New(cfg), current, c
 }
 
+// revertRollout records that the rollout of service s was reverted.
+func revertRollout(t *testing.T, c *fakeControl) {
+	t.Helper()
+	r := c.machine.State().Rollouts["s"]
+	_, err := c.propose(context.Background(), mustEncode(t, applier.Command{Op: applier.OpStep, AcceptedAt: c.now.UnixMilli(), Args: applier.Args{
+		Service: "s", Step: &applier.Step{Rollout: r.ID, FromPhase: r.Phase, Phase: sycamorevane.RolloutReverted},
+	}}))
+	require.NoError(t, err)
+	require.Equal(t, sycamorevane.RolloutReverted, c.machine.State().Rollouts["s"].Phase)
+}
+
 // Guards against commands that a host acknowledges from a state in which they are in force, although they were taken back
 // since.
 func TestCommandsOnALaggingHost(t *testing.T) {
@@ -260,12 +272,7 @@
 		require.NoError(t, a.StartRollout(ctx, "s", "v2", 3*time.Second))
 	}
 	revert := func(c *fakeControl) {
-		r := c.machine.State().Rollouts["s"]
-		_, err := c.propose(ctx, mustEncode(t, applier.Command{Op: applier.OpStep, AcceptedAt: c.now.UnixMilli(), Args: applier.Args{
-			Service: "s", Step: &applier.Step{Rollout: r.ID, FromPhase: r.Phase, Phase: sycamorevane.RolloutReverted},
-		}}))
-		require.NoError(t, err)
-		require.Equal(t, sycamorevane.RolloutReverted, c.machine.State().Rollouts["s"].Phase)
+		revertRollout(t, c)
 		c.now = c.now.Add(2 * resendWindow)
 	}
 	t.Run("a version is rolled out again", func(t *testing.T) {
--- a/applier/command.go
+++ b/applier/command.go
@@ -62,6 +62,10 @@
 	AcceptedAt int64 `json:"at"`
 	// Force skips the checks of capacity, known servers and known versions.
 	Force bool `json:"force,omitempty"`
+	// SeenIndex is the log index of the last entry that the sending host had applied while the client was waiting for the
+	// outcome. The command does not change the state if a later command was decided on the same subject, because the
+	// client may have sent that one after giving this one up. Nil means no such check.
+	SeenIndex *uint64 `json:"seen,omitempty"`
 }
 
 // Args holds the arguments of all operations. The commander sets the fields that describe the system at acceptance
@@ -148,7 +152,7 @@
 	ResultConflict Result = "conflict"
 	// ResultRefused means that the command was rejected for the given reason.
 	ResultRefused Result = "refused"
-	// ResultStale means that an internal command was based on an outdated state.
+	// ResultStale means that the command was based on an outdated state.
 	ResultStale Result = "stale"
 )
 
--- a/applier/golden_test.go
+++ b/applier/golden_test.go
@@ -21,6 +21,7 @@
 	m.targets = goldentester.Fill[map[string]Target]()
 	usage := goldentester.Fill[UsageState]()
 	m.usage.Store(&usage)
+	m.orders = goldentester.Fill[orderIndex]()
 	for i := range 2 {
 		r := goldentester.Fill[Record]()
 		require.Empty(t, goldentester.ZeroFields(r))
@@ -48,6 +49,7 @@
 	require.Equal(t, m.Usage(), read.Usage())
 	require.Equal(t, []any{m.index, m.actor, m.changedAt, m.targets}, []any{read.index, read.actor, read.changedAt, read.targets})
 	require.Equal(t, m.trail, read.trail)
+	require.Equal(t, m.orders, read.orders)
 }
 
 // Guards against a log that another version cannot decode, for example because a renamed Go field changed its key in
--- a/applier/machine.go
+++ b/applier/machine.go
@@ -28,6 +28,8 @@
 	// targets describes those drained servers that were known when they were drained.
 	targets map[string]Target
 	trail   *auditTrail
+	// orders holds the index of the last command that was decided on each subject.
+	orders orderIndex
 	// indexChanged is closed and replaced when index changes.
 	indexChanged chan struct{}
 }
@@ -36,7 +38,7 @@
 
 // New returns an empty state machine at version 0.
 func New() *Machine {
-	m := &Machine{targets: map[string]Target{}, trail: newAuditTrail(), indexChanged: make(chan struct{})}
+	m := &Machine{targets: map[string]Target{}, trail: newAuditTrail(), orders: newOrderIndex(), indexChanged: make(chan struct{})}
 	m.state.Store(emptyState())
 	m.usage.Store(&UsageState{})
 	return m
@@ -129,6 +131,10 @@
 	}
 	previousVersion := m.State().Version
 	decided := m.decide(c, e.Index)
+	if decided.newState != nil && m.orders.isOutdated(c) {
+		decided = decision{result: ResultStale, reason: "a later command was decided meanwhile"}
+	}
+	m.orders.record(c, decided, e.Index)
 	if decided.newState != nil {
 		decided.newState.Version = e.Index
 		m.state.Store(decided.newState)
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -22,6 +22,8 @@
 	Targets   map[string]Target   `json:"targets"`
 	// Usage is nil while no window has counts.
 	Usage *UsageState `json:"usage,omitempty"`
+	// Orders is nil while no command was decided that another one can take back, and in snapshots of earlier versions.
+	Orders *orderIndex `json:"orders,omitempty"`
 	// NextSeq is the Seq of the next record. The records are in ascending order of Seq and end at NextSeq-1.
 	NextSeq uint64 `json:"next"`
 	// Count is the number of records that follow.
@@ -42,8 +44,12 @@
 	if usage.Last == 0 {
 		usage = nil
 	}
+	orders := &m.orders
+	if len(orders.Last) == 0 && orders.Floor == 0 {
+		orders = nil
+	}
 	err = e.Encode(snapshotHeader{
-		Format: FormatVersion, Index: m.index, State: m.State(), Actor: m.actor, ChangedAt: m.changedAt, Targets: m.targets, Usage: usage,
+		Format: FormatVersion, Index: m.index, State: m.State(), Actor: m.actor, ChangedAt: m.changedAt, Targets: m.targets, Usage: usage, Orders: orders,
 		NextSeq: m.trail.nextSeq, Count: len(m.trail.records),
 	})
 	for seq := m.trail.oldestSeq(); err == nil && seq < m.trail.nextSeq; seq++ {
@@ -85,6 +91,7 @@
 	m.targets = h.Targets
 	m.usage.Store(h.Usage)
 	m.trail = t
+	m.orders = *h.Orders
 	m.index = 0
 	m.advance(h.Index)
 	return nil
@@ -107,6 +114,10 @@
 	if h.Usage == nil {
 		h.Usage = &UsageState{}
 	}
+	if h.Orders == nil || h.Orders.Last == nil {
+		orders := newOrderIndex()
+		h.Orders = &orders
+	}
 	// The audit trail holds every record until there are MaxAuditRecords of them, and then always the last
 	// MaxAuditRecords, so the count follows from NextSeq.
 	if h.NextSeq == 0 || uint64(h.Count) != min(h.NextSeq-1, MaxAuditRecords) {
--- a/cataloger/control_catalog.go
+++ b/cataloger/control_catalog.go
@@ -48,6 +48,9 @@
 	// servers.
 	EndCommitted func(ctx context.Context, id string) bool
 	CommitEnd    func(ctx context.Context, ids []string) error
+	// CallerWaits returns nil if the server whose report ctx belongs to still waits for the response, else the reason. It is
+	// asked for reports that name no start: a later start could be taken for the one that has ended. Nil means always.
+	CallerWaits func(ctx context.Context) error
 	// OnRemoved is called on the leader with the ids of servers that were removed from the catalog.
 	OnRemoved func(ids []string)
 	// File stores the catalog across restarts; it is not stored if the path is empty.
@@ -115,6 +118,11 @@
 	if !c.cfg.HasLeaderContact() {
 		return &UnavailableError{Reason: "no control leader is known"}
 	}
+	if r.endsAllStarts() && c.cfg.CallerWaits != nil {
+		if err := c.cfg.CallerWaits(ctx); err != nil {
+			return &UnavailableError{Reason: err.Error()}
+		}
+	}
 	if !r.Ended && !r.Draining {
 		c.mergeReport(r)
 		return nil
--- a/replicator/request.go
+++ b/replicator/request.go
@@ -21,6 +21,9 @@
 	ctx, cancel := withDefaultTimeout(ctx)
 	defer cancel()
 	for {
+		if ctx.Err() != nil {
+			return nil, &sycamorevane.NotLeaderError{Leader: r.currentStatus().leader}
+		}
 		reply, err := r.sendToLeader(ctx, &request{kind: requestPropose, data: data}, &encoder.ProposeAsk{Data: data})
 		if err != nil {
 			return nil, err
--- a/runner/discovery.go
+++ b/runner/discovery.go
@@ -19,6 +19,7 @@
 	"sycamorevane.example/sycamorevane/administrator"
 	"sycamorevane.example/sycamorevane/cataloger"
 	"sycamorevane.example/sycamorevane/forwarder"
+	"sycamorevane.example/sycamorevane/inspector"
 	"sycamorevane.example/sycamorevane/messenger"
 	"sycamorevane.example/sycamorevane/parser"
 	"sycamorevane.example/sycamorevane/placer"
@@ -371,7 +372,9 @@
 
 // serveHTTP starts an HTTP server with the default time limits. The caller has to close it.
 func (p *DiscoveryProcess) serveHTTP(l net.Listener, h http.Handler) *http.Server {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: inspector.ConnContext,
+	}
 	p.wg.Go(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			p.cfg.Log.Error(err, "listener ended", "addr", l.Addr().String())
--- a/runner/discovery_control.go
+++ b/runner/discovery_control.go
@@ -104,7 +104,8 @@
 		OnLimits: func(list []*encoder.ServerLimit, age time.Duration) { c.catalog.MergeLimits(list, age) },
 	})
 	c.administrator = administrator.New(administrator.Config{
-		State: c.stateMachine.State, Propose: c.replicator.Propose, ReadBarrier: c.readBarrier, Versions: c.announcedSlots,
+		State: c.stateMachine.State, AppliedIndex: c.stateMachine.Index, CallerWaits: callerWaits,
+		Propose: c.replicator.Propose, ReadBarrier: c.readBarrier, Versions: c.announcedSlots,
 		Policy: administrator.NewPolicy(s.Bounds.RetryRatio, s.Bounds.MaxTrialShare),
 		Clock:  processClock, Log: p.cfg.Log,
 	})
@@ -112,7 +113,8 @@
 		Transport: p.mesh, Epoch: p.mesh.Incarnation(), ControlHosts: c.otherMembers, FollowingEntries: c.catalogFollowers,
 		IsLeader:         func() bool { self, _ := c.isLeader(); return self },
 		HasLeaderContact: c.acceptsReports, NamesService: c.namesService,
-		EndCommitted: c.administrator.LeavingRecorded, CommitEnd: c.administrator.RecordLeaving, OnRemoved: c.forgetServers, ReportInterval: s.Bounds.HeartbeatInterval,
+		EndCommitted: c.administrator.LeavingRecorded, CommitEnd: c.administrator.RecordLeaving, CallerWaits: callerWaits,
+		OnRemoved: c.forgetServers, ReportInterval: s.Bounds.HeartbeatInterval,
 		File: cataloger.File{Path: filepath.Join(s.Control.DataDir, "catalog")}, Log: p.cfg.Log,
 	})
 	c.publisher = publisher.New(publisher.Config{
