--- /dev/null
+++ b/acceptor/close_test.go
@@ -0,0 +1,84 @@
+package acceptor
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// closeNoticeTime is the users' bound for what still runs after a caller has closed its connection.
+const closeNoticeTime = 500 * time.Millisecond
+
+// Guards against requests that run, or are started, after their caller has closed the connection: what it had sent ahead hides the
+// close, because it is not read while the connection waits.
+func TestCloseBehindRequestsSentAhead(t *testing.T) {
+	const post = "POST /10000 HTTP/1.1\nHost: h\nContent-Length: 3\n\nabc"
+	for name, c := range map[string]struct {
+		sent    string
+		started int64
+	}{
+		"more requests than run at once":    {strings.Repeat(get("/10000"), maxConcurrentExchanges+4), maxConcurrentExchanges},
+		"a request that must run alone":     {get("/10000") + post, 1},
+		"a request behind one with a body":  {post + get("/10000"), 1},
+		"data behind the last request":      {"GET /10000 HTTP/1.1\nHost: h\nConnection: close\n\n" + get("/1"), 1},
+		"a body that the handler has left":  {"POST /10000 HTTP/1.1\nHost: h\nContent-Length: 9\n\nabc", 1},
+		"a body longer than what is stored": {"POST /10000 HTTP/1.1\nHost: h\nContent-Length: 200000\n\n" + strings.Repeat("x", 100_000), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var started, ended atomic.Int64
+			_, addr := newServer(t, func(_ http.ResponseWriter, r *http.Request) {
+				started.Add(1)
+				defer ended.Add(1)
+				if r.Method == http.MethodPost && r.ContentLength == 3 {
+					_, _ = io.Copy(io.Discard, r.Body)
+				}
+				select {
+				case <-time.After(10 * time.Second):
+				case <-r.Context().Done():
+				}
+			})
+			caller := dial(t, addr)
+			caller.send(c.sent)
+			require.Eventually(t, func() bool { return started.Load() == c.started }, time.Second, time.Millisecond)
+			require.NoError(t, caller.Close())
+			require.Eventually(t, func() bool { return ended.Load() == c.started }, closeNoticeTime, time.Millisecond)
+			require.Equal(t, c.started, started.Load())
+		})
+	}
+}
+
+// Guards against a limit that accepts more connections, or that does not accept further ones when some have ended.
+func TestMaxConns(t *testing.T) {
+	_, addr := newServer(t, sleepHandler, func(cfg *Config) { cfg.MaxConns = 2 })
+	first := dial(t, addr)
+	first.send(get("/1"))
+	first.expect(200, "/1")
+	second, third := dial(t, addr), dial(t, addr)
+	third.send(get("/2"))
+	second.send(get("/1"))
+	second.expect(200, "/1")
+	require.NoError(t, third.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err := third.r.Peek(1)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.NoError(t, third.SetReadDeadline(time.Now().Add(time.Second)))
+	require.NoError(t, first.Close())
+	third.expect(200, "/2")
+}
+
+// Guards against a caller that is taken to have left while it only waits.
+func TestCallerThatWaitsIsServed(t *testing.T) {
+	_, addr := newServer(t, sleepHandler)
+	c := dial(t, addr)
+	const requests = 2*maxConcurrentExchanges + 3
+	c.send(strings.Repeat(get("/250"), requests))
+	for range requests {
+		c.expect(200, "/250")
+	}
+}
