SIGHUP does not end a process that is starting

A process that got SIGHUP while it read its settings or opened its store ended, since the handler was set after that.

Change: join sets the handler before anything that takes time.

Evidence: TestSignalsWhileStarting holds the process at its settings by a pipe. On the code before, both cases with SIGHUP fail and the one with SIGTERM alone passes; now all three pass.

--- a/cmd/sycamorevane/join.go
+++ b/cmd/sycamorevane/join.go
@@ -34,6 +34,10 @@
 }
 
 func join(ctx context.Context, file string) error {
+	// Before anything that takes time: without a handler SIGHUP ends the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	s, err := parser.LoadDiscovery(file)
 	if err != nil {
 		return err
@@ -48,9 +52,6 @@
 	if err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	if err := process.Start(); err != nil {
 		return err
 	}
