URLs reach a server as they were sent

Callers that sent a path with "|" or a letter outside ASCII had it changed on its way to a server, and got no answer to a path with a bad escape.

Cause: requests to servers were written from the parsed URL, which escapes such characters; the error of a URL that cannot be parsed satisfies net.Error, so that the listener took it for a broken connection.

Change: servers get the bytes of the request line; what cannot be written unchanged gets 400.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"sync"
@@ -275,11 +276,13 @@
 // writeError responds to a request that could not be read, after the responses to the preceding requests.
 func (c *conn) writeError(previous *exchange, err error) {
 	var timeout net.Error
+	var malformedURL *url.Error // It is a net.Error as well, although nothing is wrong with the connection.
 	if c.callerClosed || errors.Is(err, net.ErrClosed) {
 		return
 	}
 	status := "400 Bad Request"
 	switch {
+	case errors.As(err, &malformedURL):
 	case errors.Is(err, errHeaderTooLarge):
 		status = "431 Request Header Fields Too Large"
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -328,7 +328,7 @@
 		header[c.f.dialect.ExpectInstance] = []string{a.grant.Server.InstanceName}
 	}
 	a.req = &http.Request{
-		Method: c.r.Method, URL: c.r.URL, Host: c.r.Host, Header: header,
+		Method: c.r.Method, URL: c.target, Host: c.r.Host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if c.upload == nil {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -45,6 +46,8 @@
 	r         *http.Request
 	rc        *http.ResponseController
 	startedAt time.Time
+	// target is written to servers.
+	target *url.URL
 
 	index        *index
 	svc          *sycamorevane.Service
@@ -184,7 +187,9 @@
 	case c.hasRepeatedHeader():
 		return &statusError{http.StatusBadRequest, "a header that may occur once is repeated"}
 	}
-	return nil
+	var err error
+	c.target, err = requestTarget(r)
+	return err
 }
 
 // hasRepeatedHeader reports whether a header that must have a single value occurs more than once.
