A power loss leaves no gap in the segments of a store

A control host could refuse its store after a power loss and had to be replaced.

Change: the folder is synced after each removal, oldest first.

Test: the file system of TestCrashAtEveryOperation also undoes some of the unsynced changes of names.

--- a/persister/persister.go
+++ b/persister/persister.go
@@ -379,7 +379,8 @@
 	return nil
 }
 
-// removeObsolete removes the old snapshot and, oldest first, the segments whose entries the new snapshot covers.
+// removeObsolete removes the old snapshot and, oldest first, the segments whose entries the new snapshot covers. Each removal
+// is made durable before the next one: a power failure could undo an earlier one alone, which would leave a gap.
 func (s *Store) removeObsolete(oldSnapshot uint64) error {
 	if oldSnapshot > 0 {
 		if err := s.fs.Remove(s.path(snapshotName(oldSnapshot))); err != nil {
@@ -390,9 +391,12 @@
 		if err := s.fs.Remove(s.path(segmentName(s.segments[0].number))); err != nil {
 			return errors.Trace(err)
 		}
+		if err := s.fs.SyncDir(s.dir); err != nil {
+			return errors.Trace(err)
+		}
 		s.segments = s.segments[1:]
 	}
-	return errors.Trace(s.fs.SyncDir(s.dir))
+	return nil
 }
 
 // Close implements sycamorevane.Store.
--- a/persister/persister_test.go
+++ b/persister/persister_test.go
@@ -21,7 +21,7 @@
 var errInjected = errors.New("injected fault")
 
 // memFS is an in-memory file system. Its method crash loses what was not synced, like a power failure: unsynced bytes
-// are cut off at a random offset and may be partly zeroed, and unsynced changes of names may be undone.
+// are cut off at a random offset and may be partly zeroed, and unsynced changes of names may be undone, all or some of them.
 type memFS struct {
 	rand         *rand.Rand
 	files        map[string]*memFile
@@ -156,11 +156,38 @@
 
 func (f *memFile) Close() error { return nil }
 
+// undoSomeNames undoes unsynced changes of names one by one.
+func (fs *memFS) undoSomeNames() {
+	changed := sycamorevane.NewSet[string]()
+	for name, f := range fs.files {
+		if fs.durableFiles[name] != f {
+			changed.Add(name)
+		}
+	}
+	for name := range fs.durableFiles {
+		if fs.files[name] == nil {
+			changed.Add(name)
+		}
+	}
+	for _, name := range changed.Sorted() {
+		if fs.rand.IntN(2) == 0 {
+			continue
+		}
+		delete(fs.files, name)
+		if f := fs.durableFiles[name]; f != nil {
+			fs.files[name] = f
+		}
+	}
+}
+
 // crash simulates a power failure: the next Open sees what was durable and possibly a part of the rest.
 func (fs *memFS) crash() {
 	fs.locked, fs.opsUntilFault = false, -1
-	if fs.rand.IntN(2) == 0 {
+	switch fs.rand.IntN(3) {
+	case 0:
 		fs.files = maps.Clone(fs.durableFiles)
+	case 1:
+		fs.undoSomeNames()
 	}
 	for _, f := range fs.files {
 		tail := f.data[f.synced:]
