--- a/cataloger/caller_test.go
+++ b/cataloger/caller_test.go
@@ -16,7 +16,7 @@
 func TestLateEndWithoutStartIsDropped(t *testing.T) {
 	var mu sync.Mutex
 	leader := "c1"
-	c, committed := startControlCatalog(t, newFakeTransports("c1")["c1"], nil, &leader, &mu)
+	c, committed := startControlCatalog(t, newFakeTransports("c1", "entry")["c1"], nil, &leader, &mu)
 	ctx := context.Background()
 	require.NoError(t, c.Report(ctx, report("x", "1", 1, 1)))
 	c.cfg.CallerWaits = func(context.Context) error { return errors.New("caller has closed the connection") }
