Test of URLs: the server keeps its connections

TestTargetReachesTheServerAsItWasSent failed once in a run of several packages under the race detector: its server closed each connection after one response without saying so, and a request on a connection that was being closed had no other server to go to.

--- a/forwarder/target_test.go
+++ b/forwarder/target_test.go
@@ -41,7 +41,6 @@
 				return
 			}
 			_, _ = io.WriteString(c, strings.ReplaceAll(provenResponse, "ID", req.Header.Get("X-Request-Id")))
-			return
 		}
 	})
 	f := newTestRig(t, withRules(), server).f
