A wait that is watched for a close of the caller starts no goroutine

Each request with a body started one, since its body has not been read when its handler starts. A timer now makes the checks, and most waits end before the first one.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -302,28 +302,26 @@
 }
 
 // watchCaller cancels the requests of the connection if the caller closes it while nothing is read from it. Requests that
-// were sent ahead may hide the end of the connection. The returned function ends the watch.
+// were sent ahead may hide the end of the connection. The returned function ends the watch. Most waits end before the first
+// check, so that no goroutine is started for them.
 func (c *conn) watchCaller() (stop func()) {
 	peer := inspector.FromContext(inspector.ConnContext(c.ctx, c.netConn))
 	if peer == nil {
 		return func() {}
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	c.wg.Go(func() {
-		t := time.NewTicker(closeCheckInterval)
-		defer t.Stop()
-		for {
-			select {
-			case <-t.C:
-			case <-ctx.Done():
-				return
-			}
-			if status, err := peer.Status(); err == nil && status.Closed {
-				c.cancel()
-				return
-			}
+	var check func()
+	check = func() {
+		if ctx.Err() != nil {
+			return
 		}
-	})
+		if status, err := peer.Status(); err == nil && status.Closed {
+			c.cancel()
+			return
+		}
+		time.AfterFunc(closeCheckInterval, check)
+	}
+	time.AfterFunc(closeCheckInterval, check)
 	return cancel
 }
 
