--- a/Makefile
+++ b/Makefile
@@ -82,13 +82,13 @@
 demo: build
 	$(BIN) demo -for 30s
 
-# Runs many random schedules of the consensus cores, all pairs of faults, and control groups of real processes. Set SOAK_SEED or FAULTS_SEED to repeat a run.
+# Runs many random schedules of the consensus cores, all pairs of faults, and control groups and entries of real processes. Set SOAK_SEED or FAULTS_SEED to repeat a run.
 SOAK_SEEDS ?= 300
 
 soak:
 	SOAK_SEEDS=$(SOAK_SEEDS) $(GO) test -timeout 1200s -run 'Schedules$$' -v ./replicator
 	FAULTS_PAIRS=all $(GO) test -timeout 1800s -count 1 -run 'TestPairs$$' -v ./faultinjector
-	CONTROL_SOAK_SEEDS=50 CONTROL_SOAK_SECONDS=30 $(GO) test -timeout 1800s -count 1 -parallel 6 -run 'TestControlSoak$$' ./platform
+	CONTROL_SOAK_SEEDS=50 CONTROL_SOAK_SECONDS=30 ENTRY_SOAK_SEEDS=50 ENTRY_SOAK_SECONDS=20 $(GO) test -timeout 1800s -count 1 -parallel 6 -run 'Test(Control|Entry)Soak$$' ./platform
 
 # Needs protoc (Debian package protobuf-compiler).
 proto:
