Revert the watch of connections that are not read

From 21.5 s on the control leader drops calls of entries, 3,994 of them, since 512 are running.

The cause is not traced.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -23,10 +23,7 @@
 	// HasPending reports whether there are connections that the listener has not accepted yet; nil if that is not known.
 	// Shutdown waits until they are accepted, since closing the listener would reset them.
 	HasPending func() bool
-	// MaxConns limits the open connections; further ones wait in the listener. 0 means no limit. Listeners must not limit them
-	// by wrapping connections, since a wrapper hides whether the caller has closed its side.
-	MaxConns int
-	Log      logr.Logger
+	Log        logr.Logger
 }
 
 // Limits are the limits for requests and connections of callers.
@@ -42,11 +39,6 @@
 type Server struct {
 	cfg Config
 	wg  sync.WaitGroup
-	// connSlots holds one element per open connection; nil without a limit.
-	connSlots chan struct{}
-	// stopped is closed when no further connections are accepted.
-	stopped  chan struct{}
-	stopOnce sync.Once
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
@@ -56,30 +48,7 @@
 }
 
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, conns: make(map[*conn]struct{}), listeners: make(map[net.Listener]struct{}), stopped: make(chan struct{})}
-	if cfg.MaxConns > 0 {
-		s.connSlots = make(chan struct{}, cfg.MaxConns)
-	}
-	return s
-}
-
-// acquireConn waits until another connection may be opened. It returns false if the server stops before.
-func (s *Server) acquireConn() bool {
-	if s.connSlots == nil {
-		return true
-	}
-	select {
-	case s.connSlots <- struct{}{}:
-		return true
-	case <-s.stopped:
-		return false
-	}
-}
-
-func (s *Server) releaseConn() {
-	if s.connSlots != nil {
-		<-s.connSlots
-	}
+	return &Server{cfg: cfg, conns: make(map[*conn]struct{}), listeners: make(map[net.Listener]struct{})}
 }
 
 const (
@@ -106,13 +75,7 @@
 	s.listeners[l] = struct{}{}
 	s.mu.Unlock()
 	for {
-		if !s.acquireConn() {
-			return http.ErrServerClosed
-		}
 		netConn, err := l.Accept()
-		if err != nil {
-			s.releaseConn()
-		}
 		switch {
 		case err != nil && s.closing.Load():
 			return http.ErrServerClosed
@@ -133,7 +96,6 @@
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	s.wg.Go(func() {
-		defer s.releaseConn()
 		c.serve()
 		s.mu.Lock()
 		delete(s.conns, c)
@@ -156,7 +118,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closing.Store(true)
-	s.stopOnce.Do(func() { close(s.stopped) })
 	for l := range s.listeners {
 		_ = l.Close()
 	}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -14,8 +14,6 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/net/http/httpguts"
-
-	"sycamorevane.example/sycamorevane/inspector"
 )
 
 const (
@@ -23,8 +21,6 @@
 	writeBufferBytes = 4 << 10
 	// maxConcurrentExchanges limits the pipelined requests of a connection that are served at the same time.
 	maxConcurrentExchanges = 8
-	// closeCheckInterval is how often a connection that is not read is checked for whether the caller has closed it.
-	closeCheckInterval = 100 * time.Millisecond
 	// errorWriteTimeout is the time limit for writing the response to a request that could not be read.
 	errorWriteTimeout = time.Second
 )
@@ -118,14 +114,14 @@
 			break
 		}
 		x := newExchange(c, req, previous)
-		if previous != nil && !(canRunConcurrently(req) && canRunConcurrently(previous.req)) && !c.awaitExchange(previous) {
+		if previous != nil && !(canRunConcurrently(req) && canRunConcurrently(previous.req)) && !previous.awaitDone(c.ctx) {
 			break
 		}
 		if !c.startExchange(x) {
 			break
 		}
 		previous = x
-		if !c.awaitBody(x) {
+		if !x.awaitBody() {
 			break
 		}
 		if req.Close {
@@ -217,7 +213,7 @@
 	_, err := c.reader.Peek(1)
 	switch {
 	case err == nil: // Data after the last request is ignored.
-		c.awaitExchange(x)
+		x.awaitDone(c.ctx)
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		c.cancel()
 	}
@@ -301,68 +297,10 @@
 	_ = c.writer.Flush()
 }
 
-// watchCaller cancels the requests of the connection if the caller closes it while nothing is read from it. Requests that
-// were sent ahead may hide the end of the connection. The returned function ends the watch. Most waits end before the first
-// check, so that no goroutine is started for them.
-func (c *conn) watchCaller() (stop func()) {
-	peer := inspector.FromContext(inspector.ConnContext(c.ctx, c.netConn))
-	if peer == nil {
-		return func() {}
-	}
-	ctx, cancel := context.WithCancel(c.ctx)
-	var check func()
-	check = func() {
-		if ctx.Err() != nil {
-			return
-		}
-		if status, err := peer.Status(); err == nil && status.Closed {
-			c.cancel()
-			return
-		}
-		time.AfterFunc(closeCheckInterval, check)
-	}
-	time.AfterFunc(closeCheckInterval, check)
-	return cancel
-}
-
-// awaitExchange is exchange.awaitDone for a wait in which nothing is read.
-func (c *conn) awaitExchange(x *exchange) bool {
-	defer c.watchCaller()()
-	return x.awaitDone(c.ctx)
-}
-
-// awaitBody is exchange.awaitBody for a handler that may not read the body yet.
-func (c *conn) awaitBody(x *exchange) bool {
-	select {
-	case <-x.bodyDone:
-	default:
-		defer c.watchCaller()()
-	}
-	return x.awaitBody()
-}
-
-// acquireExchangeSlot waits for a slot. It returns false if the caller closes the connection before.
-func (c *conn) acquireExchangeSlot() bool {
-	select {
-	case c.exchangeSlots <- struct{}{}:
-		return true
-	default:
-	}
-	defer c.watchCaller()()
-	select {
-	case c.exchangeSlots <- struct{}{}:
-		return c.ctx.Err() == nil
-	case <-c.ctx.Done():
-		return false
-	}
-}
-
 // startExchange starts the handler for a request when a slot is free. It returns false if a preceding response has
-// announced the end of the connection, or if the caller has closed it.
+// announced the end of the connection.
 func (c *conn) startExchange(x *exchange) bool {
-	if !c.acquireExchangeSlot() {
-		return false
-	}
+	c.exchangeSlots <- struct{}{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.noMoreRequests {
--- a/forwarder/framing.go
+++ b/forwarder/framing.go
@@ -5,9 +5,6 @@
 	"io"
 	"net"
 	"strconv"
-	"syscall"
-
-	"github.com/juju/errors"
 )
 
 // RejectAmbiguousFraming returns a listener for http.Server that rejects requests with both Content-Length and
@@ -52,15 +49,6 @@
 	return n, err
 }
 
-// SyscallConn implements syscall.Conn.
-func (c *framingConn) SyscallConn() (syscall.RawConn, error) {
-	inner, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errors.NotSupportedf("raw connection of %T", c.Conn)
-	}
-	return inner.SyscallConn()
-}
-
 // framingState is the part of a request that the next byte belongs to.
 type framingState uint8
 
--- a/runner/discovery_entry.go
+++ b/runner/discovery_entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/net/netutil"
 
 	"sycamorevane.example/sycamorevane"
 	"sycamorevane.example/sycamorevane/acceptor"
@@ -245,9 +246,9 @@
 	e.p.wg.Go(e.probeLoop)
 	e.readyServer = e.p.serveHTTP(e.readyListener, e.p.cfg.Adapter.Ready(e.accepting))
 	e.callerServer = acceptor.New(acceptor.Config{
-		Handler: e.forwarder, Limits: e.limits, MaxConns: discoveryMaxCallerConns, HasPending: func() bool { return acceptor.HasPendingConns(e.callerListener) }, Log: e.p.cfg.Log,
+		Handler: e.forwarder, Limits: e.limits, HasPending: func() bool { return acceptor.HasPendingConns(e.callerListener) }, Log: e.p.cfg.Log,
 	})
-	l := forwarder.RejectAmbiguousFraming(e.callerListener)
+	l := forwarder.RejectAmbiguousFraming(netutil.LimitListener(e.callerListener, discoveryMaxCallerConns))
 	e.p.wg.Go(func() {
 		if err := e.callerServer.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			e.p.cfg.Log.Error(err, "caller listener ended")
