Callers with less time are no longer taken for repeats

Cause: callerTimeout.elapsed took the difference to the usual time of a route for an earlier wait of the same caller. softDeadline subtracted it, so that the request counted as late; Request.Returned changed its rank in the scheduler and how long it might wait.

The log line of a late response loses waitedms.

--- a/dispatcher/scheduled.go
+++ b/dispatcher/scheduled.go
@@ -108,7 +108,7 @@
 func (d *Dispatcher) ask(req *sycamorevane.Request, excluded []string) scheduler.Ask {
 	a := scheduler.Ask{
 		Route: req.Route, Workspace: req.Workspace, Priority: req.Priority, Deadline: req.Deadline, SoftDeadline: req.SoftDeadline,
-		ExcludedServers: excluded, Returned: req.Returned,
+		ExcludedServers: excluded,
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -29,9 +29,6 @@
 	responseAfterWriteErrorTimeout = 500 * time.Millisecond
 	// maxInformational limits the number of 1xx responses before the final one.
 	maxInformational = 5
-	// minReturnWait is the time that a caller has spent on earlier attempts from which it counts as one that returns. No
-	// refused caller is told to return earlier.
-	minReturnWait = 30 * time.Millisecond
 	// minDelayedBodyBytes is the smallest body whose last byte is delayed while the host of the server is slow. A server
 	// starts a request when it has the whole body, and the load of the host at that time determines how long the request
 	// takes.
@@ -202,7 +199,6 @@
 		Idempotent: !c.atMostOnce, Deadline: deadline, ExcludedServers: excludedServers, SoftDeadline: c.softDeadline(),
 		Priority: c.priority,
 	}
-	req.Returned = c.previousWait >= minReturnWait
 	grant, err := c.acquire(ctx, req, hedge)
 	if err != nil {
 		if permit != nil {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -73,8 +73,6 @@
 	acquiredAt time.Time
 	// scheduler is the host that has chosen that server; empty when this entry has.
 	scheduler string
-	// previousWait is the estimated time that the caller has already spent on earlier attempts of its own.
-	previousWait time.Duration
 	// deadline is the earlier of the rule's and the caller's deadline. It is zero without either, since a slow upload may
 	// then take longer than the service's timeout.
 	deadline time.Time
@@ -272,7 +270,7 @@
 	if c.rule == nil || c.rule.SoftTimeout <= 0 {
 		return time.Time{}
 	}
-	return c.startedAt.Add(c.rule.SoftTimeout - c.previousWait)
+	return c.startedAt.Add(c.rule.SoftTimeout)
 }
 
 func (c *call) setDeadline() error {
@@ -298,9 +296,6 @@
 	if ms <= 0 {
 		return c.newRefusedError("deadline has passed", defaultRetryAfter)
 	}
-	if c.rule != nil {
-		c.previousWait = c.ruleState.callerTimeout.elapsed(time.Duration(min(ms, maxTimeout.Milliseconds())) * time.Millisecond)
-	}
 	callerDeadline := c.startedAt.Add(min(maxTimeout, time.Duration(min(ms, maxTimeout.Milliseconds()))*time.Millisecond))
 	c.callerDeadline = callerDeadline
 	if c.deadline.IsZero() || callerDeadline.Before(c.deadline) {
--- a/forwarder/index.go
+++ b/forwarder/index.go
@@ -103,7 +103,7 @@
 		}
 		state := x.ruleStates[old]
 		if !slices.Equal(old.Destinations, r.Destinations) {
-			return &ruleState{roundRobin: fresh.roundRobin, callerTimeout: state.callerTimeout, medianLatency: state.medianLatency}
+			return &ruleState{roundRobin: fresh.roundRobin, medianLatency: state.medianLatency}
 		}
 		return state
 	}
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -127,7 +127,7 @@
 		"server", res.server.ID, "dc", res.server.DC, "attempts", c.attempts, "tried", c.excludedServers,
 		"ms", now.Sub(c.startedAt).Milliseconds(),
 		"placedms", c.acquiredAt.Sub(c.startedAt).Milliseconds(), "serverms", res.latency.Milliseconds(),
-		"heldms", res.bodyDelay.Milliseconds(), "waitedms", c.previousWait.Milliseconds(),
+		"heldms", res.bodyDelay.Milliseconds(),
 		"aimms", c.rule.SoftTimeout.Milliseconds(), "version", c.stateVersion(),
 	}
 	if c.scheduler != "" {
--- a/forwarder/rulestate.go
+++ b/forwarder/rulestate.go
@@ -9,15 +9,14 @@
 
 // ruleState is the state that is kept for a rule across requests.
 type ruleState struct {
-	roundRobin    *weightedRoundRobin
-	callerTimeout *callerTimeout
+	roundRobin *weightedRoundRobin
 	// medianLatency estimates the median latency of successful first attempts.
 	medianLatency *quantileEstimate
 }
 
 func newRuleState() *ruleState {
 	return &ruleState{
-		roundRobin: &weightedRoundRobin{currentWeight: make(map[string]float64)}, callerTimeout: &callerTimeout{},
+		roundRobin:    &weightedRoundRobin{currentWeight: make(map[string]float64)},
 		medianLatency: &quantileEstimate{value: initialMedian.Seconds(), tailRatio: 0.5},
 	}
 }
@@ -28,40 +27,8 @@
 	currentWeight map[string]float64
 }
 
-// callerTimeout estimates the timeout that the callers of a rule set.
-type callerTimeout struct {
-	mu sync.Mutex
-	// typical is the smoothed timeout of first attempts.
-	typical time.Duration
-}
-
-const (
-	// initialMedian is the median latency that is assumed for a rule without responses; a few responses correct it.
-	initialMedian = 100 * time.Millisecond
-	// timeoutSmoothing is the weight of one request in the typical timeout.
-	timeoutSmoothing = 0.05
-	// maxRetryTimeoutRatio separates retries of callers from first attempts: a retry has at most this share of the typical
-	// timeout left, while the timeouts of first attempts differ by only a tenth.
-	maxRetryTimeoutRatio = 0.8
-)
-
-// elapsed estimates how long the caller has been waiting. The callers of a rule all set about the same timeout, and a
-// caller that retries sets what remains of it.
-func (t *callerTimeout) elapsed(remaining time.Duration) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.typical == 0 {
-		t.typical = remaining
-	}
-	if float64(remaining) < maxRetryTimeoutRatio*float64(t.typical) {
-		waited := t.typical - remaining
-		// If all callers have changed to a shorter timeout, the estimate follows, at a lower weight.
-		t.typical -= time.Duration(timeoutSmoothing * timeoutSmoothing * float64(waited))
-		return waited
-	}
-	t.typical += time.Duration(timeoutSmoothing * float64(remaining-t.typical))
-	return 0
-}
+// initialMedian is the median latency that is assumed for a rule without responses; a few responses correct it.
+const initialMedian = 100 * time.Millisecond
 
 // next returns the service of the next request.
 func (w *weightedRoundRobin) next(destinations []sycamorevane.Destination) string {
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -8,10 +8,8 @@
 const (
 	// rateWindow is the time constant of the smoothed rates.
 	rateWindow = time.Second
-	// maxLateWaitShare is the share of its remaining time that a late request may be expected to wait,
-	// maxReturnedWaitShare the same for one whose caller was told to return now.
-	maxLateWaitShare     = 0.15
-	maxReturnedWaitShare = 0.5
+	// maxLateWaitShare is the share of its remaining time that a late request may be expected to wait.
+	maxLateWaitShare = 0.15
 	// maxRetryShare is the share of its remaining time that a rejected caller waits before it returns.
 	maxRetryShare = 0.33
 	// retrySpread randomizes when rejected callers return.
@@ -68,7 +66,7 @@
 // hopeless reports whether the request is expected to wait longer than it can to be in time. At half of that wait the
 // value fell by 0.03 at twice the capacity; at 1.5 times the wait a quarter of the rejections came after 190 ms.
 func (c *Core) hopeless(now time.Time, w *waiter) bool {
-	if !c.congested(now) || w.Returned {
+	if !c.congested(now) {
 		return false
 	}
 	ahead, capacity := 0.0, c.capacity(now)
@@ -104,11 +102,7 @@
 
 // maxLateWait is how long a late request may be expected to wait.
 func (w *waiter) maxLateWait(now time.Time) time.Duration {
-	share := maxLateWaitShare
-	if w.Returned {
-		share = maxReturnedWaitShare
-	}
-	return time.Duration(share * float64(w.Deadline.Sub(now)))
+	return time.Duration(maxLateWaitShare * float64(w.Deadline.Sub(now)))
 }
 
 func (c *Core) anyUsable() bool {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -23,12 +23,6 @@
 }
 
 func compareWaiters(a, b *waiter) int {
-	if a.Returned != b.Returned {
-		if a.Returned {
-			return -1
-		}
-		return 1
-	}
 	return cmp.Or(a.rank.Compare(b.rank), cmp.Compare(a.sequence, b.sequence))
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,8 +66,6 @@
 	Work time.Duration
 	// ExcludedServers lists the servers on which the request has already failed.
 	ExcludedServers []string
-	// Returned is set when the caller had been rejected and comes back at the time that it was told.
-	Returned bool
 }
 
 // Start describes a request that runs on a server.
--- a/simulator/discovery_scheduler.go
+++ b/simulator/discovery_scheduler.go
@@ -205,12 +205,12 @@
 
 // forwardScheduled acts as an entry for one request that a scheduler places.
 func (sim *discoverySimulation) forwardScheduled(
-	ctx context.Context, k *RequestKind, e *simulatedEntry, req *sycamorevane.Request, serviceTime time.Duration, returned bool,
+	ctx context.Context, k *RequestKind, e *simulatedEntry, req *sycamorevane.Request, serviceTime time.Duration,
 ) (ok bool, retryAfter time.Duration) {
 	for range maxAttempts {
 		d, ok := e.scheduler.ask(ctx, scheduler.Ask{
 			Route: req.Route, Workspace: req.Workspace, Priority: req.Priority, Deadline: req.Deadline, SoftDeadline: req.SoftDeadline,
-			ExcludedServers: req.ExcludedServers, Returned: returned, Work: k.MeanServiceTime,
+			ExcludedServers: req.ExcludedServers, Work: k.MeanServiceTime,
 		})
 		if !ok {
 			return false, 0
--- a/types.go
+++ b/types.go
@@ -78,8 +78,6 @@
 	SoftDeadline time.Time
 	// Hedge is set for a second attempt that runs concurrently with the first one. It must not wait for a free slot.
 	Hedge bool
-	// Returned is set when the caller has sent the request before, was refused, and has come back.
-	Returned bool
 }
 
 // Grant permits one request to run on one server.
