The scheduler refuses at once what cannot be served, and nothing else

What callers saw: a request waited as long as a share of the route's aim or of its remaining time allowed, and was refused then, whatever was known on its arrival; with an aim of 500 ms of 4 s a request was refused after a wait of 350 ms although it had seconds left. Requests past their aim got 5% of the capacity. Work of more value went first.

Change: a request may wait until its deadline less its work. It is refused on arrival if the work ahead of it, the more urgent requests that are expected and the capacity (learned from the time that requests take and from the room that is used while others wait) say that it does not start by then, or if no server has room until then. While more work arrives than can be done in the time that callers have, the excess is refused on arrival, from all callers of a priority and workspace alike; a burst that can be served in time is not refused. Order: priority, workspaces in turn, least time to wait. Retry-After is when room is expected, after those who were told so before, at most a third of the time left. The decisions are in package shedder, pure.

--- a/coordinator/pool.go
+++ b/coordinator/pool.go
@@ -155,7 +155,7 @@
 	}
 	a := scheduler.Ask{
 		Key: scheduler.Key{Entry: e.key, ID: r.Id}, Route: r.Route, Workspace: r.Firm, Priority: int(r.Priority),
-		Deadline: decodeTime(now, r.Deadline), SoftDeadline: decodeTime(now, r.Soft), Work: time.Duration(r.Work) * time.Millisecond,
+		Deadline: decodeTime(now, r.Deadline), Work: time.Duration(r.Work) * time.Millisecond,
 	}
 	for _, number := range r.Excluded {
 		if id := p.ids[number]; id != "" {
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -21,7 +21,7 @@
 func encodeAsk(now time.Time, id uint64, a *scheduler.Ask) *encoder.ScheduleRequest {
 	m := &encoder.ScheduleRequest{
 		Id: id, Route: a.Route, Firm: a.Workspace, Priority: uint32(max(0, a.Priority)), Work: milliseconds(a.Work),
-		Deadline: encodeTime(now, a.Deadline), Soft: encodeTime(now, a.SoftDeadline),
+		Deadline: encodeTime(now, a.Deadline),
 	}
 	for _, server := range a.ExcludedServers {
 		m.Excluded = append(m.Excluded, dispatcher.ServerNumber(server))
--- a/dispatcher/scheduled.go
+++ b/dispatcher/scheduled.go
@@ -107,13 +107,12 @@
 // ask describes the request to the scheduler.
 func (d *Dispatcher) ask(req *sycamorevane.Request, excluded []string) scheduler.Ask {
 	a := scheduler.Ask{
-		Route: req.Route, Workspace: req.Workspace, Priority: req.Priority, Deadline: req.Deadline, SoftDeadline: req.SoftDeadline,
+		Route: req.Route, Workspace: req.Workspace, Priority: req.Priority, Deadline: req.Deadline,
 		ExcludedServers: excluded,
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	latency := d.core.pool(req.Service).latencyOf(req.Route)
-	latency.initFromSoftTimeout(time.Until(req.SoftDeadline))
 	if latency.initialized {
 		a.Work = latency.base
 	}
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -3,27 +3,15 @@
 import (
 	"math"
 	"time"
+
+	"sycamorevane.example/sycamorevane/shedder"
 )
 
 const (
 	// rateWindow is the time constant of the smoothed rates.
 	rateWindow = time.Second
-	// maxLateWaitShare is the share of its remaining time that a late request may be expected to wait.
-	maxLateWaitShare = 0.15
-	// maxRetryShare is the share of its remaining time that a rejected caller waits before it returns.
-	maxRetryShare = 0.33
-	// retrySpread randomizes when rejected callers return.
-	retrySpread = 0.2
-	// minRetryAfter keeps rejected callers from returning before any room can have come.
-	minRetryAfter = 50 * time.Millisecond
-	// defaultRetryAfter is when callers without a deadline return.
-	defaultRetryAfter = time.Second
 	// maxWaiting bounds the waiting requests.
 	maxWaiting = 4096
-	// minCapacityShare is the least share of the capacity that is assumed to be left for a priority.
-	minCapacityShare = 0.02
-	// usualCapacityShare is the share of the room that runs at a time when requests start on fast hosts only.
-	usualCapacityShare = 0.7
 )
 
 // ReasonNoServer is the reason of a rejection because no server of the pool is usable. The entry then uses the servers
@@ -48,6 +36,7 @@
 		c.arrivals[w.Priority] = r
 	}
 	r.add(now, w.work)
+	c.shedder.Count(now, w.group(), w.work.Seconds(), w.horizon(now)+w.work)
 }
 
 func (r *rate) add(now time.Time, work time.Duration) {
@@ -56,53 +45,142 @@
 	r.work += work.Seconds() / rateWindow.Seconds()
 }
 
-// capacity is the work in seconds that the pool can start in a second while it is congested: what it has granted in the
-// last second, or what is usual when few requests came.
+// capacity is the work in seconds that the pool can do in a second while requests wait.
 func (c *Core) capacity(now time.Time) float64 {
-	c.granted.refresh(now)
-	return max(c.granted.work, usualCapacityShare*float64(max(1, c.totalLimit(now))))
+	return c.throughput.Capacity(float64(c.totalLimit(now)))
 }
 
-// hopeless reports whether the request is expected to wait longer than it can to be in time. At half of that wait the
-// value fell by 0.03 at twice the capacity; at 1.5 times the wait a quarter of the rejections came after 190 ms.
-func (c *Core) hopeless(now time.Time, w *waiter) bool {
-	if !c.congested(now) {
-		return false
-	}
-	ahead, capacity := 0.0, c.capacity(now)
-	for _, class := range c.inTime.classes {
+// workAhead is the work in seconds of the waiting requests that go before w.
+func (c *Core) workAhead(w *waiter) float64 {
+	ahead := 0.0
+	for _, class := range c.queue.classes {
 		if class.priority <= w.Priority {
 			ahead += class.workBefore(w).Seconds()
 		}
 	}
-	left := capacity
-	for priority, r := range c.arrivals {
-		if priority < w.Priority {
-			r.refresh(now)
-			left -= r.work
+	return ahead
+}
+
+// forecast is what requests of the priority can expect.
+func (c *Core) forecast(now time.Time, priority int) shedder.Forecast {
+	return c.shedder.Forecast(now, priority, c.capacity(now))
+}
+
+// admit rejects a request that has to wait if it is not expected to start in time, or if its part of the capacity is used
+// up by others like it.
+func (c *Core) admit(now time.Time, w *waiter) {
+	if c.queue.count <= c.freeServers(now) {
+		return // It waits for load reports only.
+	}
+	forecast, work := c.forecast(now, w.Priority), w.work.Seconds()
+	if now.Add(w.horizon(now)).Before(c.nextRoom) || !forecast.WillStart(w.horizon(now), c.workAhead(w), work) {
+		c.reject(now, w, "no server becomes free in time")
+		return
+	}
+	queued := c.queuedWork(w.Priority) - work
+	if forecast.Wait(queued) < w.work {
+		return // Such a queue forms without overload as well.
+	}
+	if c.cfg.Rand.Float64() >= c.shedder.Admissible(now, w.group(), forecast.Capacity, queued) {
+		c.reject(now, w, "more requests arrive than can be served")
+	}
+}
+
+// freeServers is the number of servers that have room.
+func (c *Core) freeServers(now time.Time) int {
+	n, congested := 0, c.congested(now)
+	for _, s := range c.list {
+		if s.hasRoom(now, c.reportsLoad, congested) {
+			n++
 		}
 	}
-	left = max(left, minCapacityShare*capacity)
-	return ahead > left*w.latestStart.Sub(now).Seconds()
+	return n
 }
 
-// admit rejects the request at once if it cannot be finished.
-func (c *Core) admit(now time.Time, w *waiter) {
+// horizon is how long the request can wait and still be expected to end before its deadline, also if it takes longer than
+// usual.
+func (w *waiter) horizon(now time.Time) time.Duration {
+	return max(0, w.latestStart.Sub(now)-w.margin())
+}
+
+// queuedWork is the work in seconds of the waiting requests that are as urgent or more urgent.
+func (c *Core) queuedWork(priority int) float64 {
+	work := 0.0
+	for _, class := range c.queue.classes {
+		if class.priority <= priority {
+			work += class.work.Seconds()
+		}
+	}
+	return work
+}
+
+// margin is by how much the request may take longer or shorter than expected.
+func (w *waiter) margin() time.Duration { return spreadMargin * w.spread }
+
+func (w *waiter) group() shedder.Group {
+	return shedder.Group{Priority: w.Priority, Workspace: w.Workspace}
+}
+
+// rejectUnservable rejects the request if no server can take it or if it cannot be finished. It reports whether it did.
+func (c *Core) rejectUnservable(now time.Time, w *waiter) bool {
 	switch {
 	case !c.anyUsable():
 		c.reject(now, w, ReasonNoServer)
 	case len(c.waiting) > maxWaiting:
 		c.reject(now, w, "queue is full")
-	case now.Add(w.work).After(w.Deadline) && !w.Deadline.IsZero():
+	case now.After(w.latestStart.Add(w.margin())):
 		c.reject(now, w, "deadline cannot be met")
-	case w.late && !w.Deadline.IsZero() && c.lateWait(now) > w.maxLateWait(now):
-		c.reject(now, w, "no server becomes free in time")
+	default:
+		return false
+	}
+	return true
+}
+
+// expire rejects the waiting requests that are not expected to finish before their deadline, and records how long others
+// have to wait.
+func (c *Core) expire(now time.Time) {
+	var expired []*waiter
+	waiting := false
+	ahead := 0.0
+	for _, class := range c.queue.classes {
+		forecast := c.forecast(now, class.priority)
+		for w := range class.next {
+			waiting = waiting || now.Sub(w.arrivedAt) > congestedAfter
+			latest := w.latestStart.Add(w.margin())
+			if latest.Before(c.nextRoom) || !forecast.MayStart(latest.Sub(now), ahead, w.work.Seconds()) {
+				expired = append(expired, w)
+				continue
+			}
+			ahead += w.work.Seconds()
+		}
+	}
+	if waiting {
+		c.lastCongested = now
+	}
+	c.throughput.Update(now, waiting, len(c.runs), float64(c.totalLimit(now)))
+	c.nextRoom = c.roomAt(now)
+	for _, w := range expired {
+		c.reject(now, w, "deadline cannot be met")
+	}
+	if !c.anyUsable() {
+		for _, w := range c.waiting {
+			c.reject(now, w, ReasonNoServer)
+		}
 	}
 }
 
-// maxLateWait is how long a late request may be expected to wait.
-func (w *waiter) maxLateWait(now time.Time) time.Duration {
-	return time.Duration(maxLateWaitShare * float64(w.Deadline.Sub(now)))
+// roomAt is when a server is expected to have room: now, or when the first request ends if all servers are full.
+func (c *Core) roomAt(now time.Time) time.Time {
+	if c.freeServers(now) > 0 {
+		return now
+	}
+	var first time.Time
+	for _, r := range c.runs {
+		if s := c.servers[r.server]; s != nil && s.Usable && (first.IsZero() || r.expectedEnd.Before(first)) {
+			first = r.expectedEnd
+		}
+	}
+	return first
 }
 
 func (c *Core) anyUsable() bool {
@@ -114,19 +192,6 @@
 	return false
 }
 
-// lateWait is the expected wait of a late request that is added now.
-func (c *Core) lateWait(now time.Time) time.Duration {
-	if !c.congested(now) {
-		return 0
-	}
-	return time.Duration(float64(c.late.count) * float64(c.lateInterval(now)))
-}
-
-// lateInterval is the mean time between two grants to late requests during congestion.
-func (c *Core) lateInterval(now time.Time) time.Duration {
-	return time.Duration(float64(c.meanWork()) / (lateShare * c.capacity(now)))
-}
-
 // meanWork is the mean work of the requests that arrive.
 func (c *Core) meanWork() time.Duration {
 	count, work := 0.0, 0.0
@@ -140,30 +205,26 @@
 	return time.Duration(work / count * float64(time.Second))
 }
 
-// reject tells the caller of a waiting request to return when the room of the late requests has come to it.
+// reject rejects a waiting request. Its caller is told to return when there is expected to be room for it, after the
+// callers that were told so before.
 func (c *Core) reject(now time.Time, w *waiter, reason string) {
-	c.drop(w, 0)
-	earliest := now.Add(max(minRetryAfter, c.lateWait(now)))
-	if c.nextReturn.Before(earliest) {
-		c.nextReturn = earliest
+	delay := shedder.DefaultRetryAfter
+	if reason != ReasonNoServer {
+		forecast := c.forecast(now, w.Priority)
+		excess := max(c.nextRoom.Sub(now), forecast.Wait(c.workAhead(w))) - max(0, w.latestStart.Sub(now))
+		delay = c.returns.Reserve(now, max(0, excess), forecast.Interval(w.work.Seconds()))
 	}
-	retryAfter := c.nextReturn.Sub(now)
-	latest := defaultRetryAfter
+	c.drop(w, 0)
+	var left time.Duration
 	if !w.Deadline.IsZero() {
-		latest = max(minRetryAfter, time.Duration(maxRetryShare*float64(w.Deadline.Sub(now))))
-	}
-	if retryAfter > latest {
-		retryAfter = latest
-	} else {
-		c.nextReturn = c.nextReturn.Add(c.lateInterval(now))
+		left = w.Deadline.Sub(now)
 	}
-	retryAfter = time.Duration(float64(retryAfter) * (1 - retrySpread*c.cfg.Rand.Float64()))
-	c.decisions = append(c.decisions, Decision{Key: w.Key, RetryAfter: retryAfter, Reason: reason})
+	c.decisions = append(c.decisions, Decision{Key: w.Key, RetryAfter: shedder.RetryAfter(delay, left, c.cfg.Rand.Float64()), Reason: reason})
 }
 
 // Summary implements Pool.
 func (c *Core) Summary(now time.Time) Summary {
-	s := Summary{Waiting: c.inTime.count + c.late.count, Running: len(c.runs), ExpectedLatency: time.Duration(float64(c.meanWork()) * c.slowdownMean())}
+	s := Summary{Waiting: c.queue.count, Running: len(c.runs), ExpectedLatency: time.Duration(float64(c.meanWork()) * c.slowdownMean())}
 	mostUrgent := math.MaxInt
 	for priority, r := range c.arrivals {
 		r.refresh(now)
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/shedder"
 )
 
 const (
@@ -14,23 +15,18 @@
 	workWeight  = 0.05
 	// observationsForWork is the number of responses from which on the pool's own estimate of the work is used.
 	observationsForWork = 5
-	// workMargin allows for requests that take longer than the mean of their route.
-	workMargin = 1.3
-	// workRank is the multiple of its work by which a request is put behind shorter ones: during overload short requests
-	// earn more value in the same time.
-	workRank = 1
+	// spreadMargin is the number of mean deviations by which a request may take longer than the mean of its route. For
+	// about normally distributed times, 19 of 20 take no longer.
+	spreadMargin = 2
 	// fastSlowdown is the expected slowdown up to which a request is granted a server at once: that of a fast server
 	// whose report is 23 ms old. goodSlowdown is the one up to which it is granted a server when probes have not
 	// returned in time.
 	fastSlowdown = 1.06
 	goodSlowdown = 1.3
-	// congestedAfter is how long a request in time waits in vain until the pool counts as congested, which it does for
+	// congestedAfter is how long a request waits in vain until the pool counts as congested, which it does for
 	// congestedPeriod.
 	congestedAfter  = 2 * freshReportWait
 	congestedPeriod = time.Second
-	// lateShare is the share of the requests that run at once, and of the capacity, that late requests may have while the
-	// pool is congested.
-	lateShare = 0.05
 	// maxTries bounds the waiting requests that are tried for one event.
 	maxTries = 16
 	// maxExpectedEnd bounds how long requests of an entry that has gone count as running.
@@ -56,29 +52,25 @@
 	servers map[string]*server
 	list    []*server
 	waiting map[Key]*waiter
-	inTime  queue
-	// late holds the requests that cannot be in time. They are served in the order of arrival, so that their wait can be
-	// foretold and the least urgent ones do not wait in vain.
-	late   queue
-	runs   map[Key]*run
-	routes map[string]*routeStats
+	queue   queue
+	runs    map[Key]*run
+	routes  map[string]*routeStats
 	// sequence numbers the asks.
 	sequence uint64
-	// lateRunning counts the running requests that were late when they were granted.
-	lateRunning int
 	// reportsLoad is set once a server has reported its load; meanSlowdown is the mean of the reports.
 	reportsLoad   bool
 	meanSlowdown  float64
 	lastCongested time.Time
 	lastSweep     time.Time
-	// nextReturn is the earliest time for which the next rejected caller is told to return.
-	nextReturn time.Time
-	// arrivals holds the rates of the asks by priority, granted the rate of the grants, lateGranted that of the grants to
-	// late requests, with the time that they take on slow hosts.
-	arrivals             map[int]*rate
-	granted, lateGranted rate
-	decisions            []Decision
-	blames               blames
+	returns       shedder.Returns
+	// arrivals holds the rates of the asks by priority.
+	arrivals   map[int]*rate
+	shedder    *shedder.Shedder
+	throughput shedder.Throughput
+	// nextRoom is when a server is expected to have room again, as of the last tick with waiting requests.
+	nextRoom  time.Time
+	decisions []Decision
+	blames    blames
 }
 
 // run is a request on a server.
@@ -93,12 +85,11 @@
 	expected time.Duration
 	// slowdown is the expected slowdown at the start.
 	slowdown float64
-	late     bool
 }
 
-// routeStats estimates the work of the requests of a route.
+// routeStats estimates the work of the requests of a route and its mean deviation.
 type routeStats struct {
-	work         time.Duration
+	work, spread time.Duration
 	observations int
 }
 
@@ -111,8 +102,8 @@
 	}
 	return &Core{
 		cfg: cfg, servers: make(map[string]*server), waiting: make(map[Key]*waiter), runs: make(map[Key]*run),
-		routes: make(map[string]*routeStats), meanSlowdown: initialMeanSlowdown, arrivals: make(map[int]*rate), blames: make(blames),
-		late: queue{ignorePriority: true},
+		routes: make(map[string]*routeStats), meanSlowdown: initialMeanSlowdown, arrivals: make(map[int]*rate),
+		shedder: shedder.New(), blames: make(blames),
 	}
 }
 
@@ -148,32 +139,22 @@
 		return nil
 	}
 	c.sequence++
-	w := &waiter{Ask: a, sequence: c.sequence, arrivedAt: now, work: c.workOf(&a), freshUntil: now.Add(freshReportWait)}
-	switch {
-	case w.SoftDeadline.IsZero() && w.Deadline.IsZero():
-		w.latestStart = now.Add(defaultRunTime)
-	case w.SoftDeadline.IsZero():
+	w := &waiter{Ask: a, sequence: c.sequence, arrivedAt: now, freshUntil: now.Add(freshReportWait)}
+	w.work, w.spread = c.workOf(&a)
+	w.latestStart = now.Add(defaultRunTime)
+	if !w.Deadline.IsZero() {
 		w.latestStart = w.Deadline.Add(-w.work)
-	default:
-		w.latestStart = w.SoftDeadline.Add(-time.Duration(workMargin * float64(w.work)))
 	}
-	w.rank = w.latestStart.Add(workRank * w.work)
 	c.countArrival(now, w)
-	w.late = now.After(w.latestStart) || c.hopeless(now, w)
 	c.waiting[w.Key] = w
-	if w.late {
-		w.rank = now
+	c.queue.add(w)
+	if !c.rejectUnservable(now, w) {
+		c.grantAll(now)
 	}
-	c.queueOf(w).add(w)
-	c.admit(now, w)
-	return c.decide(now)
-}
-
-func (c *Core) queueOf(w *waiter) *queue {
-	if w.late {
-		return &c.late
+	if c.waiting[w.Key] != nil {
+		c.admit(now, w)
 	}
-	return &c.inTime
+	return c.decide(now)
 }
 
 // Cancel implements Pool.
@@ -203,7 +184,7 @@
 	if server := c.servers[s.Server]; server != nil {
 		slowdown = server.hostSlowdown(now, c.slowdownMean()) * server.startSlowdown(now)
 	}
-	work := c.workOf(&Ask{Route: s.Route, Work: s.Work})
+	work, _ := c.workOf(&Ask{Route: s.Route, Work: s.Work})
 	c.addRun(s.Key, &run{server: s.Server, route: s.Route, slowdown: slowdown, expiresAt: expiresAt}, s.At, work)
 }
 
@@ -214,9 +195,6 @@
 	if s := c.servers[r.server]; s != nil {
 		s.running++
 	}
-	if r.late {
-		c.lateRunning++
-	}
 }
 
 // endRun removes a request from its server and returns it; nil if it is not known.
@@ -229,9 +207,6 @@
 	if s := c.servers[r.server]; s != nil {
 		s.running = max(0, s.running-1)
 	}
-	if r.late {
-		c.lateRunning--
-	}
 	return r
 }
 
@@ -257,6 +232,7 @@
 		expected = r.expected
 		if f.Kind == sycamorevane.OutcomeOK {
 			c.learnWork(f.Route, f.Latency, r.slowdown)
+			c.throughput.Finish(time.Duration(float64(r.expected)/r.slowdown), f.Latency)
 		}
 	}
 	if blamesServer(f.Kind) && !c.blames.credible(now, f.Entry, f.Server) {
@@ -307,7 +283,7 @@
 
 // Tick implements Pool.
 func (c *Core) Tick(now time.Time) []Decision {
-	c.demote(now)
+	c.expire(now)
 	return c.decide(now)
 }
 
@@ -324,31 +300,6 @@
 	}
 }
 
-// demote moves requests that can no longer be in time to the late ones, and rejects what cannot be finished.
-func (c *Core) demote(now time.Time) {
-	var demoted []*waiter
-	for w := range c.inTime.next {
-		if now.After(w.latestStart) {
-			demoted = append(demoted, w)
-		}
-	}
-	for w := range c.late.next {
-		if !w.Deadline.IsZero() && now.Add(w.work).After(w.Deadline) {
-			demoted = append(demoted, w)
-		}
-	}
-	for _, w := range demoted {
-		if w.late {
-			c.reject(now, w, "deadline cannot be met")
-			continue
-		}
-		c.inTime.remove(w, 0)
-		w.late, w.rank = true, w.arrivedAt
-		c.late.add(w)
-		c.admit(now, w)
-	}
-}
-
 // ForgetEntry implements Pool.
 func (c *Core) ForgetEntry(now time.Time, entry string) {
 	delete(c.blames, entry)
@@ -372,33 +323,25 @@
 // decide grants servers to waiting requests until no further one can be granted, and returns all pending decisions.
 func (c *Core) decide(now time.Time) []Decision {
 	c.sweep(now)
-	for c.grantNext(now) {
-	}
+	c.grantAll(now)
 	decisions := c.decisions
 	c.decisions = nil
 	return decisions
 }
 
+func (c *Core) grantAll(now time.Time) {
+	for c.grantNext(now) {
+	}
+}
+
 // grantNext grants a server to the first waiting request that accepts one.
 func (c *Core) grantNext(now time.Time) bool {
-	if c.inTime.count+c.late.count == 0 {
-		return false
-	}
 	congested := c.congested(now)
-	if !slices.ContainsFunc(c.list, func(s *server) bool { return s.hasRoom(now, c.reportsLoad, congested) }) {
-		c.noteCongestion(now)
+	if c.queue.count == 0 || !slices.ContainsFunc(c.list, func(s *server) bool { return s.hasRoom(now, c.reportsLoad, congested) }) {
 		return false
 	}
-	if c.grantFrom(now, &c.inTime) {
-		return true
-	}
-	c.noteCongestion(now)
-	return c.lateAllowed(now) && c.grantFrom(now, &c.late)
-}
-
-func (c *Core) grantFrom(now time.Time, q *queue) bool {
 	tries := 0
-	for w := range q.next {
+	for w := range c.queue.next {
 		if s := c.choose(now, w); s != nil {
 			c.grant(now, w, s)
 			return true
@@ -410,34 +353,9 @@
 	return false
 }
 
-// noteCongestion records that requests wait although they could be in time.
-func (c *Core) noteCongestion(now time.Time) {
-	for w := range c.inTime.next {
-		if now.Sub(w.arrivedAt) > congestedAfter {
-			c.lastCongested = now
-		}
-		return
-	}
-}
-
+// congested reports whether requests have recently waited longer than for load reports.
 func (c *Core) congested(now time.Time) bool { return now.Sub(c.lastCongested) < congestedPeriod }
 
-// lateAllowed reports whether a late request may run in addition to those that do.
-func (c *Core) lateAllowed(now time.Time) bool {
-	if c.late.count == 0 {
-		return false
-	}
-	if !c.congested(now) && c.inTime.count == 0 {
-		return true
-	}
-	// In a small pool one late request at a time would be more than its share, so the time that they take counts too.
-	c.lateGranted.refresh(now)
-	return c.lateRunning < c.lateLimit(now) && c.lateGranted.work <= lateShare*c.capacity(now)
-}
-
-// lateLimit is the number of late requests that may run at once during congestion.
-func (c *Core) lateLimit(now time.Time) int { return max(1, int(lateShare*float64(c.totalLimit(now)))) }
-
 func (c *Core) totalLimit(now time.Time) int {
 	total := 0
 	for _, s := range c.list {
@@ -476,8 +394,9 @@
 // servers that have room.
 func (c *Core) accepts(now time.Time, w *waiter, host, start float64, free int) bool {
 	onSlow := time.Duration(host * start * float64(w.work))
+	finishes := w.Deadline.IsZero() || !now.Add(onSlow).After(w.Deadline)
 	switch {
-	case start > 1 && !w.late && !w.SoftDeadline.IsZero() && now.Add(onSlow).After(w.SoftDeadline):
+	case start > 1 && !finishes:
 		return false
 	case host <= fastSlowdown:
 		return true
@@ -485,17 +404,16 @@
 		return false
 	case host <= goodSlowdown:
 		return true
+	case !finishes:
+		return false
 	}
-	if w.late {
-		return now.Sub(w.arrivedAt) > slowdownDecay && (w.Deadline.IsZero() || !now.Add(onSlow).After(w.Deadline))
-	}
-	if w.SoftDeadline.IsZero() {
-		return now.Sub(w.arrivedAt) > slowdownDecay
+	redrawn := now.Sub(w.arrivedAt) > slowdownDecay
+	if c.queue.count > free {
+		// Others need the room more, unless no faster host is to be expected.
+		return redrawn && host <= c.slowdownMean()
 	}
-	// It starts on a slow host in time only if there is no time left to wait for a fast one, and if other requests do not
-	// need the place more.
-	latestSlowStart := w.SoftDeadline.Add(-time.Duration(workMargin * float64(onSlow)))
-	return c.inTime.count <= free && now.Before(latestSlowStart) && now.Add(freshReportWait).After(latestSlowStart)
+	onSlow += time.Duration(spreadMargin * host * start * float64(w.spread))
+	return redrawn || !w.Deadline.IsZero() && now.Add(freshReportWait+onSlow).After(w.Deadline)
 }
 
 func (c *Core) grant(now time.Time, w *waiter, s *server) {
@@ -505,29 +423,25 @@
 		expiresAt = w.Deadline.Add(endSlack)
 	}
 	c.drop(w, w.work)
-	c.granted.add(now, w.work)
-	if w.late {
-		c.lateGranted.add(now, time.Duration(slowdown*float64(w.work)))
-	}
-	c.addRun(w.Key, &run{server: s.ID, route: w.Route, slowdown: slowdown, late: w.late, expiresAt: expiresAt}, now, w.work)
+	c.addRun(w.Key, &run{server: s.ID, route: w.Route, slowdown: slowdown, expiresAt: expiresAt}, now, w.work)
 	c.decisions = append(c.decisions, Decision{Key: w.Key, Server: s.ID})
 }
 
 // drop removes a waiting request and charges its workspace with the work.
 func (c *Core) drop(w *waiter, work time.Duration) {
-	c.queueOf(w).remove(w, work)
+	c.queue.remove(w, work)
 	delete(c.waiting, w.Key)
 }
 
-// workOf is the expected time of a request on an idle host.
-func (c *Core) workOf(a *Ask) time.Duration {
+// workOf is the expected time of a request on an idle host and its mean deviation, which is 0 if it is not known.
+func (c *Core) workOf(a *Ask) (work, spread time.Duration) {
 	if r := c.routes[a.Route]; r != nil && r.observations >= observationsForWork {
-		return r.work
+		return r.work, r.spread
 	}
 	if a.Work > 0 {
-		return a.Work
+		return a.Work, 0
 	}
-	return defaultWork
+	return defaultWork, 0
 }
 
 func (c *Core) learnWork(route string, latency time.Duration, slowdown float64) {
@@ -544,5 +458,6 @@
 	// A response that took several times as long as usual says more about the host than about the route.
 	observed = min(observed, 2*r.work)
 	weight := max(workWeight, 1/float64(r.observations))
+	r.spread += time.Duration(weight * float64((observed-r.work).Abs()-r.spread))
 	r.work += time.Duration(weight * float64(observed-r.work))
 }
--- a/scheduler/probe.go
+++ b/scheduler/probe.go
@@ -24,7 +24,7 @@
 // DueProbes implements Pool. Servers are probed only for requests that wait for a fresh load report, the most probably
 // fast servers first.
 func (c *Core) DueProbes(now time.Time) []string {
-	waiting := c.inTime.count + c.late.count
+	waiting := c.queue.count
 	if waiting == 0 {
 		return nil
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -11,19 +11,17 @@
 	Ask
 	sequence  uint64
 	arrivedAt time.Time
-	// work is the expected time on an idle host.
-	work time.Duration
-	// latestStart is until when a start on an idle host keeps the request in time.
+	// work is the expected time on an idle host, spread its mean deviation.
+	work, spread time.Duration
+	// latestStart is until when a start on an idle host is expected to finish the request before its deadline.
 	latestStart time.Time
-	// rank orders the requests of one workspace.
-	rank time.Time
 	// freshUntil is until when the request waits for fresh load reports.
 	freshUntil time.Time
-	late       bool
 }
 
+// compareWaiters orders the requests of one workspace by the time until which they can wait.
 func compareWaiters(a, b *waiter) int {
-	return cmp.Or(a.rank.Compare(b.rank), cmp.Compare(a.sequence, b.sequence))
+	return cmp.Or(a.latestStart.Compare(b.latestStart), cmp.Compare(a.sequence, b.sequence))
 }
 
 // line holds the waiting requests of one workspace and priority in order.
@@ -43,31 +41,34 @@
 	work time.Duration
 }
 
-// workBefore estimates the work of the requests that go before a new one.
+// workBefore estimates the work of the requests that go before w, which need not be in the class. Workspaces are served in
+// turn, so of each other workspace only as many requests go before it as of its own, and one more.
 func (c *class) workBefore(w *waiter) time.Duration {
 	if c.priority < w.Priority || c.count == 0 {
 		return c.work
 	}
-	before := 0
+	own := 0
+	for _, l := range c.lines {
+		if l.workspace == w.Workspace {
+			own, _ = slices.BinarySearchFunc(l.waiters, w, compareWaiters)
+		}
+	}
+	before := own
 	for _, l := range c.lines {
-		i, _ := slices.BinarySearchFunc(l.waiters, w, compareWaiters)
-		before += i
+		if l.workspace != w.Workspace {
+			before += min(len(l.waiters), own+1)
+		}
 	}
 	return c.work * time.Duration(before) / time.Duration(c.count)
 }
 
 // queue holds waiting requests by priority, the most urgent first.
 type queue struct {
-	// ignorePriority puts all requests into one class.
-	ignorePriority bool
-	classes        []*class
-	count          int
+	classes []*class
+	count   int
 }
 
 func (q *queue) class(priority int) *class {
-	if q.ignorePriority {
-		priority = 0
-	}
 	i, found := slices.BinarySearchFunc(q.classes, priority, func(c *class, p int) int { return cmp.Compare(c.priority, p) })
 	if !found {
 		q.classes = slices.Insert(q.classes, i, &class{priority: priority})
@@ -119,34 +120,35 @@
 	}
 }
 
-// next yields the requests in order: by priority, workspaces in turn, and by rank. The queue must not change meanwhile,
-// except that the last yielded request may be removed before the iteration ends.
+// next yields the requests in order: by priority, workspaces in turn, and by time left. The queue must not change
+// meanwhile, except that the last yielded request may be removed before the iteration ends.
 func (q *queue) next(yield func(*waiter) bool) {
 	for _, c := range q.classes {
-		if len(c.lines) == 1 {
-			for _, w := range c.lines[0].waiters {
-				if !yield(w) {
-					return
-				}
+		for w := range c.next {
+			if !yield(w) {
+				return
 			}
-			continue
 		}
-		lines := slices.Clone(c.lines)
-		slices.SortStableFunc(lines, func(a, b *line) int { return cmp.Compare(a.served, b.served) })
-		for i := 0; ; i++ {
-			any := false
-			for _, l := range lines {
-				if i >= len(l.waiters) {
-					continue
-				}
-				any = true
-				if !yield(l.waiters[i]) {
-					return
-				}
+	}
+}
+
+// next yields the requests of the class in order.
+func (c *class) next(yield func(*waiter) bool) {
+	lines := slices.Clone(c.lines)
+	slices.SortStableFunc(lines, func(a, b *line) int { return cmp.Compare(a.served, b.served) })
+	for i := 0; ; i++ {
+		more := false
+		for _, l := range lines {
+			if i >= len(l.waiters) {
+				continue
 			}
-			if !any {
-				break
+			more = true
+			if !yield(l.waiters[i]) {
+				return
 			}
 		}
+		if !more {
+			return
+		}
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -60,8 +60,8 @@
 	Workspace string
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
-	// SoftDeadline is the time after which the response loses value to the caller; zero for none.
-	Deadline, SoftDeadline time.Time
+	// Deadline is until when the caller waits for the response; zero for none.
+	Deadline time.Time
 	// Work is how long the request is expected to take on an otherwise idle host; 0 if unknown.
 	Work time.Duration
 	// ExcludedServers lists the servers on which the request has already failed.
--- /dev/null
+++ b/shedder/shedder.go
@@ -0,0 +1,178 @@
+// Package shedder tells how much of the demand on a queue can be served when more arrives than its servers can run. It
+// does no I/O and takes the time as an argument.
+//
+// A queue that grows as long as the time that callers have serves no more of them than a short one, since the servers are
+// busy either way, but all answers come at the last moment. So what is known to exceed the capacity is rejected on arrival,
+// from all callers of a group alike. A burst that can be served in the time that its callers have is no overload.
+package shedder
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// historyStep and historySize are the resolution of the history of demand and its number of steps.
+	historyStep = 50 * time.Millisecond
+	historySize = 256
+	// horizonWeight is the weight of one request in a mean horizon.
+	horizonWeight = 0.02
+	// recentShare is the recent part of a period. Overload that is over in that part is a past burst.
+	recentShare = 0.25
+)
+
+// Group identifies requests that are served alike.
+type Group struct {
+	// Priority is the rank of the requests; 0 is the most urgent.
+	Priority  int
+	Workspace string
+}
+
+// Shedder holds the demand of all groups.
+type Shedder struct {
+	demands map[Group]*demand
+	// horizons holds, by priority, the mean time in which requests must be finished.
+	horizons map[int]time.Duration
+}
+
+// New returns a shedder without demand.
+func New() *Shedder {
+	return &Shedder{demands: make(map[Group]*demand), horizons: make(map[int]time.Duration)}
+}
+
+// Count counts the work in seconds of a request that arrives, whether it is admitted or not, and that
+// must be finished within horizon.
+func (s *Shedder) Count(now time.Time, g Group, work float64, horizon time.Duration) {
+	mean, known := s.horizons[g.Priority]
+	if !known {
+		mean = horizon
+	}
+	s.horizons[g.Priority] = mean + time.Duration(horizonWeight*float64(horizon-mean))
+	d := s.demands[g]
+	if d == nil {
+		d = &demand{}
+		s.demands[g] = d
+	}
+	d.advance(now)
+	d.total += work
+}
+
+// Forecast returns what requests of the priority can expect if the given work in seconds is done per second.
+func (s *Shedder) Forecast(now time.Time, priority int, capacity float64) Forecast {
+	f := Forecast{Capacity: capacity, period: s.horizon(priority)}
+	if f.period <= 0 {
+		return f
+	}
+	for g, d := range s.demands {
+		if g.Priority < priority {
+			d.advance(now)
+			f.Urgent += d.since(now, f.period) / f.period.Seconds()
+		}
+	}
+	return f
+}
+
+// horizon is the mean time in which requests of the priority must be finished, as far as the history reaches.
+func (s *Shedder) horizon(priority int) time.Duration {
+	return min(s.horizons[priority], historyStep*(historySize-2))
+}
+
+// Admissible returns the share of the requests of the group that can be served, from 0 to 1. It is 1 unless more work
+// arrives in the time in which requests must be finished than can be done in it. That time is the mean of the priority, so
+// that callers with more time and callers with less get the same share. Groups of the same priority get equal parts of the
+// capacity, as far as they need them; more urgent ones go first. capacity is the work in seconds that is done per second,
+// queued the work of the waiting requests that are as urgent or more urgent.
+func (s *Shedder) Admissible(now time.Time, g Group, capacity, queued float64) float64 {
+	horizon := s.horizon(g.Priority)
+	if horizon <= 0 {
+		return 1
+	}
+	available := capacity * horizon.Seconds()
+	total := 0.0
+	var same []float64
+	for other, d := range s.demands {
+		if other.Priority > g.Priority {
+			continue
+		}
+		work := d.over(now, horizon)
+		if work <= 0 {
+			continue
+		}
+		total += work
+		if other.Priority < g.Priority {
+			available -= work
+		} else {
+			same = append(same, work)
+		}
+	}
+	own := 0.0
+	if d := s.demands[g]; d != nil {
+		own = d.over(now, horizon)
+	}
+	if own <= 0 || total <= capacity*horizon.Seconds() {
+		return 1
+	}
+	return min(1, fairPart(max(0, available-queued), same)/own)
+}
+
+// fairPart is the largest part that a group can get if each gets no more than its demand.
+func fairPart(capacity float64, demands []float64) float64 {
+	slices.SortFunc(demands, cmp.Compare[float64])
+	for i, d := range demands {
+		part := capacity / float64(len(demands)-i)
+		if d >= part {
+			return part
+		}
+		capacity -= d
+	}
+	return demands[len(demands)-1]
+}
+
+// demand is the history of the work that has arrived for a group.
+type demand struct {
+	total float64
+	// totals holds the total at the end of each past step, at the index of the step modulo historySize.
+	totals [historySize]float64
+	// step is the current step; 0 before the first.
+	step int64
+}
+
+func stepOf(t time.Time) int64 { return t.UnixNano() / int64(historyStep) }
+
+// advance ends the steps that are over.
+func (d *demand) advance(now time.Time) {
+	step := stepOf(now)
+	if d.step == 0 {
+		d.step = step
+	}
+	for first := max(d.step, step-historySize); first < step; first++ {
+		d.totals[first%historySize] = d.total
+	}
+	d.step = max(d.step, step)
+}
+
+// over is the work that is expected to arrive in the period: as much as in the last one, or in proportion as recently, if
+// that is less.
+func (d *demand) over(now time.Time, period time.Duration) float64 {
+	d.advance(now)
+	recent := time.Duration(recentShare * float64(period))
+	return min(d.since(now, period), d.since(now, recent)/recentShare)
+}
+
+// since is the work that has arrived in the last period.
+func (d *demand) since(now time.Time, period time.Duration) float64 {
+	first := now.Add(-period)
+	step := stepOf(first)
+	before, after := d.totalAfter(step-1), d.totalAfter(step)
+	share := float64(first.UnixNano()-step*int64(historyStep)) / float64(historyStep)
+	return d.total - before - share*(after-before)
+}
+
+// totalAfter is the total at the end of a step.
+func (d *demand) totalAfter(step int64) float64 {
+	if step >= d.step {
+		return d.total
+	}
+	return d.totals[step%historySize]
+}
--- a/simulator/discovery_scheduler.go
+++ b/simulator/discovery_scheduler.go
@@ -209,7 +209,7 @@
 ) (ok bool, retryAfter time.Duration) {
 	for range maxAttempts {
 		d, ok := e.scheduler.ask(ctx, scheduler.Ask{
-			Route: req.Route, Workspace: req.Workspace, Priority: req.Priority, Deadline: req.Deadline, SoftDeadline: req.SoftDeadline,
+			Route: req.Route, Workspace: req.Workspace, Priority: req.Priority, Deadline: req.Deadline,
 			ExcludedServers: req.ExcludedServers, Work: k.MeanServiceTime,
 		})
 		if !ok {
