An entry's own queue refuses at once what cannot be served, and nothing else

In a long queue the newest went first, and the others waited in vain.

Cause: latestStart took maxWaitShare of the remaining time where a route has an aim. serveWaiters served the requests that could meet their aim first, the newest of them first, and the others with half of the room. The first guess of a route's work was a share of its aim.

Change: the decisions of package shedder with what the entry knows: its part of the room (or what it runs, if that is more) and the latencies of its routes. A request waits until its deadline less the latency of an idle host. Order: priority, workspaces in turn, least time to wait. A request starts on a slow host, where it takes a slot several times as long, only when the load has been drawn anew and nobody else waits, or when its time left needs it. Without a usable server waiting requests are refused at once. The first response of a route is its first estimate.

--- a/dispatcher/core.go
+++ b/dispatcher/core.go
@@ -2,26 +2,24 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"sycamorevane.example/sycamorevane"
 	"sycamorevane.example/sycamorevane/cataloger"
+	"sycamorevane.example/sycamorevane/shedder"
 )
 
 const (
 	// initialLatency is the assumed latency of a route without observations.
 	initialLatency = 200 * time.Millisecond
-	// initialMeanShare and initialBaseShare are the mean and the base latency of a route without observations, as
-	// shares of the soft timeout of its first request.
-	initialMeanShare = 0.4
-	initialBaseShare = 0.3
 	// baseQuantile is the share of responses assumed to be as fast as on an otherwise idle host. baseStepRatio is
 	// the relative change of the estimate per response.
 	baseQuantile  = 0.3
 	baseStepRatio = 0.1
-	// meanLatencyWeight is the weight of one response in the mean latency of its route.
+	// meanLatencyWeight is the weight of one response in the mean latency of its route and in its mean deviation.
 	meanLatencyWeight = 0.1
 	// costJitter randomizes the costs of servers, so that entries with the same information choose different servers.
 	costJitter = 0.15
@@ -45,6 +43,8 @@
 	leavingUseShare = 0.4
 	// leavingRetention is how long the cutoff of a leaving server is kept: longer than any server takes to stop.
 	leavingRetention = time.Hour
+	// anyLatency is the bound of a request that starts on any server.
+	anyLatency = time.Duration(math.MaxInt64)
 	// fullCostFactor lowers the priority of servers that appear to be full when choosing which servers to probe.
 	fullCostFactor = 10.0
 )
@@ -96,13 +96,16 @@
 	reportsLoad bool
 	// lastRequest is when the last request for the service came.
 	lastRequest time.Time
-	// lastCongested is when a request that could still meet its soft deadline had last waited for congestedAfter
-	// without getting a server.
+	// lastCongested is when a request had last waited for congestedAfter without getting a server.
 	lastCongested time.Time
 	// nextReturn is the earliest time at which the next caller that is refused because of limits should return.
 	nextReturn time.Time
-	// arrivals holds the rates of the requests by priority.
-	arrivals map[int]*arrivalRate
+	// shedder, throughput and returns decide which requests wait, and when the callers of the others return.
+	shedder    *shedder.Shedder
+	throughput shedder.Throughput
+	returns    shedder.Returns
+	// arrivals counts the requests, each as one unit of work.
+	arrivals *shedder.Shedder
 	turns    turns
 }
 
@@ -110,24 +113,19 @@
 
 // routeLatency estimates the latency of successful responses of a route.
 type routeLatency struct {
-	// mean is an exponentially weighted mean. base is a low quantile, which approximates the latency on an otherwise
-	// idle host.
-	mean, base time.Duration
-	// initialized is set when a soft timeout or a response has replaced the initial values.
+	// mean is an exponentially weighted mean and spread the mean deviation from it. base is a low quantile, which
+	// approximates the latency on an otherwise idle host.
+	mean, spread, base time.Duration
+	// initialized is set when a response has replaced the initial values.
 	initialized bool
 }
 
-// initFromSoftTimeout replaces the initial values by shares of the soft timeout.
-func (l *routeLatency) initFromSoftTimeout(softTimeout time.Duration) {
-	if l.initialized || softTimeout <= 0 {
+func (l *routeLatency) add(latency time.Duration) {
+	if !l.initialized {
+		l.initialized, l.mean, l.base = true, latency, latency
 		return
 	}
-	l.initialized = true
-	l.mean, l.base = time.Duration(initialMeanShare*float64(softTimeout)), time.Duration(initialBaseShare*float64(softTimeout))
-}
-
-func (l *routeLatency) add(latency time.Duration) {
-	l.initialized = true
+	l.spread += time.Duration(meanLatencyWeight * float64((latency-l.mean).Abs()-l.spread))
 	l.mean += time.Duration(meanLatencyWeight * float64(latency-l.mean))
 	if latency > l.base {
 		l.base += time.Duration(baseStepRatio * baseQuantile * float64(l.base))
@@ -136,6 +134,10 @@
 	l.base -= time.Duration(baseStepRatio * (1 - baseQuantile) * float64(l.base))
 }
 
+// planned is the time that is planned for a request that has to wait. Of about normally distributed latencies, 19 of 20 are
+// at most two mean deviations above the mean.
+func (l *routeLatency) planned() time.Duration { return l.mean + 2*l.spread }
+
 func newCore(dc string, bounds Bounds, r *rand.Rand) *core {
 	return &core{
 		dc: dc, bounds: bounds, rand: r, pools: make(map[string]*pool), byID: make(map[string]*server),
@@ -166,7 +168,7 @@
 func (c *core) pool(service string) *pool {
 	p, ok := c.pools[service]
 	if !ok {
-		p = &pool{latencies: make(map[string]*routeLatency), arrivals: make(map[int]*arrivalRate)}
+		p = &pool{latencies: make(map[string]*routeLatency), arrivals: shedder.New(), shedder: shedder.New()}
 		c.pools[service] = p
 	}
 	return p
@@ -224,6 +226,8 @@
 	requireFresh bool
 	// skipProbe reports whether a server is not probed for waiting requests; nil means that all may be.
 	skipProbe func(*server) bool
+	// waited is how long the request has waited for a server.
+	waited time.Duration
 	// unscheduledOnly excludes the servers that the scheduler may grant.
 	unscheduledOnly bool
 }
@@ -281,19 +285,13 @@
 // cheapest chooses, among the usable servers with capacity for the request, the one of the lowest cost.
 func (c *core) cheapest(v *view, req *sycamorevane.Request, p *pool, version string) choice {
 	latency := p.latencyOf(req.Route)
-	latency.initFromSoftTimeout(req.SoftDeadline.Sub(v.now))
 	meanLatency := latency.mean
-	remaining := req.SoftDeadline.Sub(v.now)
-	canMeet := canMeetSoftDeadline(v.now, req, latency)
 	var svc *sycamorevane.Service
 	if v.state != nil {
 		svc = v.state.Config.Service(req.Service)
 	}
-	late := !canMeet && !req.SoftDeadline.IsZero()
 	congested := p.congestedAt(v.now)
-	// A request that can meet its soft deadline waits for a server on which it would: on a slow host it would be
-	// late and occupy a slot several times as long.
-	mustBeInTime := canMeet && p.anyInTime(v, req, version, latency.base, remaining)
+	longest := p.longestLatency(v, req, version, latency)
 	skipLeaving := p.anyNotLeaving(v, version, req.ExcludedServers)
 	var got choice
 	// A limited server is the substitute when no other one can take the request.
@@ -312,12 +310,12 @@
 			continue
 		}
 		cold := isCold(v, s, svc)
-		limit := s.limitFor(late, congested)
+		limit := s.limitFor(congested)
 		if v.unscheduledOnly && c.grantedByScheduler(s, cold) {
 			continue
 		}
 		if cold && !c.allowsCold(v, s, svc) || !s.hasCapacity(v.now, meanLatency, v.position.entries, limit) ||
-			mustBeInTime && s.expectedNextLatency(v.now, latency.base, meanLatency) > remaining {
+			s.expectedNextLatency(v.now, latency.base, meanLatency) > longest {
 			continue
 		}
 		if v.requireFresh && s.reportsLoad && !limited && (v.now.Sub(s.reportedAt) > freshReportAge || s.slowdown >= slowThreshold) {
@@ -411,20 +409,34 @@
 	})
 }
 
-// anyInTime reports whether a server that is not leaving, free or not, is expected to respond within the remaining
-// time.
-func (p *pool) anyInTime(v *view, req *sycamorevane.Request, version string, base, remaining time.Duration) bool {
+// longestLatency is the longest expected latency that the request accepts on a server. It does not start where it would not
+// be answered before its deadline. As long as there is time, it does not start on a slow host either, where it would take a
+// slot several times as long, before the load of the hosts has been drawn anew, or while others need the room. If no server
+// is expected to respond in that time, it accepts any.
+func (p *pool) longestLatency(v *view, req *sycamorevane.Request, version string, latency *routeLatency) time.Duration {
+	longest := anyLatency
+	if !req.Deadline.IsZero() {
+		longest = req.Deadline.Sub(v.now)
+	}
+	if fast := time.Duration(slowThreshold * float64(latency.base)); !req.Hedge && longest > fast+slowdownDecay {
+		if (v.waited < slowdownDecay || p.congestedAt(v.now)) && p.anyWithin(v, req, version, latency.base, fast) {
+			return fast
+		}
+	}
+	if p.anyWithin(v, req, version, latency.base, longest) {
+		return longest
+	}
+	return anyLatency
+}
+
+// anyWithin reports whether a server that is not leaving, free or not, is expected to respond within the time.
+func (p *pool) anyWithin(v *view, req *sycamorevane.Request, version string, base, within time.Duration) bool {
 	return slices.ContainsFunc(p.servers, func(s *server) bool {
 		return !s.record.LeaseExpired && !s.pausedAt(v.now) && !s.isLeaving() &&
-			s.expectedLatency(v.now, base) <= remaining && usable(v, s, version, req.ExcludedServers)
+			s.expectedLatency(v.now, base) <= within && usable(v, s, version, req.ExcludedServers)
 	})
 }
 
-// canMeetSoftDeadline reports whether the request can still be answered before its soft deadline.
-func canMeetSoftDeadline(now time.Time, req *sycamorevane.Request, latency *routeLatency) bool {
-	return !req.SoftDeadline.IsZero() && req.SoftDeadline.Sub(now) > latency.base
-}
-
 // usable reports whether the server may get the request now, apart from its load.
 func usable(v *view, s *server, version string, excludedServers []string) bool {
 	return !s.requestedPauseAt(v.now) && eligible(v, s, version, excludedServers) && s.withinLimit(v.now)
--- a/dispatcher/demand_probe.go
+++ b/dispatcher/demand_probe.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		cost := s.cost(v.now, meanLatency, c.dc, cold) * (1 + costJitter*c.rand.Float64())
-		if !s.hasCapacity(v.now, meanLatency, v.position.entries, s.limitFor(false, congested)) {
+		if !s.hasCapacity(v.now, meanLatency, v.position.entries, s.limitFor(congested)) {
 			cost *= fullCostFactor
 		}
 		list = append(list, option{s, cost})
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 
 	"sycamorevane.example/sycamorevane"
 	"sycamorevane.example/sycamorevane/cataloger"
+	"sycamorevane.example/sycamorevane/shedder"
 )
 
 const (
@@ -26,9 +27,8 @@
 	// queueRetryInterval is how often waiting requests are tried again, since the load estimates of servers decay
 	// with time.
 	queueRetryInterval = 10 * time.Millisecond
-	// maxWaitShare is the share of its remaining time that a request waits for a server before its caller is told
-	// when to retry. A longer wait only blocks callers who will be refused.
-	maxWaitShare = 0.15
+	// maxTries bounds the waiting requests that are tried in vain for one event.
+	maxTries = 16
 	// undrainedMaxAge is how long after it was undrained a data centre may have servers that are cold without having
 	// reported it. It allows for clocks of two hosts that differ by seconds.
 	undrainedMaxAge = 8 * time.Second
@@ -37,12 +37,6 @@
 	startupPeriod = 2 * time.Second
 	// noCapacityLogInterval is the minimum time between two log lines that describe full servers.
 	noCapacityLogInterval = time.Second
-	// longWait is the waiting time of a request that can meet its soft deadline from which the newest requests are
-	// served first.
-	longWait = 30 * time.Millisecond
-	// refusedRetryShare is the share of the time to its deadline after which a refused request should be sent again,
-	// if that is longer than the mean latency, so that a request that will be late anyway gives way to others.
-	refusedRetryShare = 0.3
 	// requestedPauseSpread randomizes the retries of requests that were refused because all servers asked for a
 	// pause.
 	requestedPauseSpread = 0.3
@@ -114,7 +108,7 @@
 	// sequence increases with each waiter.
 	sequence uint64
 	queuedAt time.Time
-	// latestStart is until when the request waits for a server.
+	// latestStart is until when a start on an idle host can finish the request before its deadline.
 	latestStart   time.Time
 	versionChoice *versionChoice
 	// freshUntil is until when the request waits for fresh load reports, which the servers in probed may bring.
@@ -214,7 +208,7 @@
 		req: &req, result: make(chan placement, 1), versionChoice: d.core.chooseVersion(v, &req), freshUntil: d.freshUntil(now),
 	}
 	if !req.Hedge {
-		d.core.pool(req.Service).countArrival(now, req.Priority)
+		d.core.pool(req.Service).countDemand(v, w)
 	}
 	if d.schedulable(v, &req, w.versionChoice) {
 		d.mu.Unlock()
@@ -239,8 +233,7 @@
 		d.mu.Unlock()
 		return g, nil
 	}
-	meanLatency := d.core.pool(req.Service).latencyOf(req.Route).mean
-	w.latestStart = latestStart(now, &req, meanLatency)
+	w.latestStart = latestStart(&req, d.core.pool(req.Service).latencyOf(req.Route))
 	queued := len(d.queue[req.Service])
 	if !got.stale {
 		d.logNoCapacity(v, &req)
@@ -255,26 +248,32 @@
 	}
 	switch {
 	case blocked && queued < maxQueued: // It starts in time.
-	case !got.anyUsable && now.Sub(d.startedAt) > startupPeriod:
+	case !got.anyUsable && d.started(now):
 		reason = "no server can take the request"
 	case queued >= maxQueued && !d.displace(v, w):
 		reason = "queue is full"
 	case req.Hedge && !got.stale:
 		reason = "a second attempt does not wait for room"
-	case !req.Hedge && req.Deadline.Sub(now) < meanLatency/2:
+	case !req.Hedge && now.After(w.latestStart):
 		reason = "deadline cannot be met"
+	case !req.Hedge && !blocked && got.anyUsable:
+		reason = d.admit(v, w)
 	}
 	if reason != "" {
+		retryAfter := d.retryAfter(v, w)
 		d.mu.Unlock()
-		return sycamorevane.Grant{}, d.refuse(&req, reason, d.retryAfter(&req, meanLatency))
+		return sycamorevane.Grant{}, d.refuse(&req, reason, retryAfter)
 	}
 	d.enqueue(w)
 	probes := d.serveQueue(now, req.Service)
 	d.mu.Unlock()
 	d.send(probes)
-	return d.wait(ctx, w, meanLatency)
+	return d.wait(ctx, w)
 }
 
+// started reports whether servers have had the time to report again since the start of this entry.
+func (d *Dispatcher) started(now time.Time) bool { return now.Sub(d.startedAt) > startupPeriod }
+
 // place chooses a server for a request. Until freshUntil, only a server with a fresh load report is chosen if servers
 // report their load.
 func (d *Dispatcher) place(v *view, w *waiter) choice {
@@ -282,23 +281,31 @@
 		w.versionChoice = d.core.chooseVersion(v, w.req)
 	}
 	v.requireFresh = v.now.Before(w.freshUntil)
+	v.waited = 0
+	if !w.queuedAt.IsZero() {
+		v.waited = v.now.Sub(w.queuedAt)
+	}
 	return d.core.pickWithVersion(v, w.req, w.versionChoice)
 }
 
-// enqueue orders requests by priority, and within a priority by arrival.
+// enqueue orders requests by priority, and within a priority by the time until which they can wait.
 func (d *Dispatcher) enqueue(w *waiter) {
 	d.waiterCount++
 	w.sequence, w.queuedAt = d.waiterCount, time.Now()
 	list := d.queue[w.req.Service]
 	i := len(list)
-	for i > 0 && list[i-1].req.Priority > w.req.Priority {
+	for i > 0 && compareWaiters(list[i-1], w) > 0 {
 		i--
 	}
 	d.queue[w.req.Service] = slices.Insert(list, i, w)
 }
 
+func compareWaiters(a, b *waiter) int {
+	return cmp.Or(cmp.Compare(a.req.Priority, b.req.Priority), a.latestStart.Compare(b.latestStart), cmp.Compare(a.sequence, b.sequence))
+}
+
 // wait returns when the request has got a server, or when it is too late for a response before the deadline.
-func (d *Dispatcher) wait(ctx context.Context, w *waiter, meanLatency time.Duration) (sycamorevane.Grant, error) {
+func (d *Dispatcher) wait(ctx context.Context, w *waiter) (sycamorevane.Grant, error) {
 	t := time.NewTicker(queueRetryInterval)
 	defer t.Stop()
 	for {
@@ -309,7 +316,7 @@
 			return d.leaveQueue(w, ctx.Err())
 		case now := <-t.C:
 			if now.After(w.latestStart) {
-				return d.leaveQueue(w, d.refuse(w.req, "no server became free in time", d.retryAfter(w.req, meanLatency)))
+				return d.leaveQueue(w, d.refuse(w.req, "no server became free in time", shedder.RetryAfter(shedder.DefaultRetryAfter, w.req.Deadline.Sub(now), rand.Float64())))
 			}
 			var probes []Probe
 			d.mu.Lock()
@@ -322,20 +329,12 @@
 	}
 }
 
-// latestStart is until when a request that arrives now may wait for a server.
-func latestStart(now time.Time, req *sycamorevane.Request, meanLatency time.Duration) time.Time {
+// latestStart is until when the request may start.
+func latestStart(req *sycamorevane.Request, latency *routeLatency) time.Time {
 	if req.Hedge {
 		return req.Deadline
 	}
-	latest := req.Deadline.Add(-meanLatency / 2)
-	if req.SoftDeadline.IsZero() {
-		return latest
-	}
-	maxWait := time.Duration(maxWaitShare * float64(req.Deadline.Sub(now)))
-	if until := now.Add(maxWait); until.Before(latest) {
-		return until
-	}
-	return latest
+	return req.Deadline.Add(-latency.base)
 }
 
 // leaveQueue ends the wait with err. A grant that was given in the meantime is released.
@@ -364,25 +363,16 @@
 	if v.state == nil {
 		return nil
 	}
-	waiting := d.serveWaiters(v, service, true, 0)
-	d.serveWaiters(v, service, false, waiting)
+	d.serveWaiters(v, service)
+	d.expire(v, service)
 	return d.demandProbes(v, service)
 }
 
-// serveWaiters places the waiting requests that can still meet their soft deadline, or the others. A late response is
-// worth little, so a late request must not take the slot of one that can be in time. The given number of requests waits
-// for limited servers before these; the new number is returned.
-func (d *Dispatcher) serveWaiters(v *view, service string, inTime bool, waiting int) int {
+// serveWaiters places the waiting requests in order.
+func (d *Dispatcher) serveWaiters(v *view, service string) {
 	p := d.core.pool(service)
-	var candidates []*waiter
-	for _, w := range d.queue[service] {
-		if canMeetSoftDeadline(v.now, w.req, p.latencyOf(w.req.Route)) == inTime {
-			candidates = append(candidates, w)
-		}
-	}
-	if inTime && !p.allLimited(v) {
-		newestFirst(v.now, candidates)
-	}
+	candidates := slices.Clone(d.queue[service])
+	waiting, tries := 0, 0 // Requests that wait for limited servers, and those that accept none of the free servers.
 	if v.hasWorkspaces() {
 		p.turns.sort(candidates)
 	}
@@ -401,11 +391,16 @@
 			waiting++
 			continue
 		}
+		if got.server == nil && !got.anyUsable && d.started(v.now) {
+			served.Add(w.sequence)
+			w.result <- placement{err: d.refuse(w.req, "no server can take the request", d.retryAfter(v, w))}
+			continue
+		}
 		if got.server == nil {
-			if inTime && got.anyUsable && anyWaited(congestedAfter, v.now, candidates) {
-				p.lastCongested = v.now
+			if tries++; tries >= maxTries {
+				break
 			}
-			break
+			continue
 		}
 		served.Add(w.sequence)
 		if v.hasWorkspaces() {
@@ -419,24 +414,6 @@
 	if len(d.queue[service]) == 0 {
 		p.turns = turns{} // Without waiting requests there are no turns to keep.
 	}
-	return waiting
-}
-
-// newestFirst reverses the order within each priority while requests have been waiting for long. In the order of
-// arrival all requests would be served with almost no time left, and most of them late. With the newest first, those
-// that arrive now are in time.
-func newestFirst(now time.Time, waiters []*waiter) {
-	if !anyWaited(longWait, now, waiters) {
-		return
-	}
-	slices.SortFunc(waiters, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.req.Priority, b.req.Priority), cmp.Compare(b.sequence, a.sequence))
-	})
-}
-
-// anyWaited reports whether one of the requests has waited for at least wait.
-func anyWaited(wait time.Duration, now time.Time, waiters []*waiter) bool {
-	return slices.ContainsFunc(waiters, func(w *waiter) bool { return now.Sub(w.queuedAt) >= wait })
 }
 
 func (d *Dispatcher) grant(v *view, route string, got choice) sycamorevane.Grant {
@@ -511,13 +488,6 @@
 	d.cfg.Log.V(1).Info("server paused", "server", g.Server.ID, "service", g.Server.Service, "outcome", o.Kind.String())
 }
 
-// retryAfter randomizes when callers of refused requests should retry. The delay is at least about the mean latency,
-// and grows with the time to the deadline so that a request that will be late anyway gives way to others.
-func (d *Dispatcher) retryAfter(req *sycamorevane.Request, meanLatency time.Duration) time.Duration {
-	delay := time.Duration(refusedRetryShare * float64(max(0, time.Until(req.Deadline))))
-	return time.Duration((0.7 + 0.6*rand.Float64()) * float64(max(meanLatency, delay)))
-}
-
 // logNoCapacity logs the state of the servers of a service while its requests find no free server.
 func (d *Dispatcher) logNoCapacity(v *view, req *sycamorevane.Request) {
 	if v.now.Sub(d.lastNoCapacityLog) < noCapacityLogInterval {
--- a/dispatcher/limit_wait.go
+++ b/dispatcher/limit_wait.go
@@ -1,16 +1,12 @@
 package dispatcher
 
 import (
-	"math"
 	"time"
 
 	"sycamorevane.example/sycamorevane"
+	"sycamorevane.example/sycamorevane/shedder"
 )
 
-// moreUrgentDeviations is by how many standard deviations the more urgent requests that arrive during a wait may exceed their
-// expected number. A request that waits and then gives way to more of them is refused late.
-const moreUrgentDeviations = 2
-
 // limitWait describes when the limited servers that could take a request accept the next ones of this entry.
 type limitWait struct {
 	// limits holds the limits of which this entry has a share, share their sum.
@@ -61,58 +57,6 @@
 	return first.Add(time.Duration(float64(before) / w.rate() * float64(time.Second)))
 }
 
-// arrivalRate estimates a rate of requests, in requests per second, over about arrivalRatePeriod.
-type arrivalRate struct {
-	value float64
-	at    time.Time
-}
-
-const arrivalRatePeriod = time.Second
-
-func (r *arrivalRate) add(now time.Time) {
-	r.value, r.at = r.get(now)+1/arrivalRatePeriod.Seconds(), now
-}
-
-func (r *arrivalRate) get(now time.Time) float64 {
-	return r.value * decay(now.Sub(r.at), arrivalRatePeriod)
-}
-
-// countArrival counts a request of the priority.
-func (p *pool) countArrival(now time.Time, priority int) {
-	r, ok := p.arrivals[priority]
-	if !ok {
-		r = &arrivalRate{}
-		p.arrivals[priority] = r
-	}
-	r.add(now)
-}
-
-// moreUrgentRate is the rate of the requests that are served before those of the priority.
-func (p *pool) moreUrgentRate(now time.Time, priority int) float64 {
-	rate := 0.0
-	for other, r := range p.arrivals {
-		if other < priority {
-			rate += r.get(now)
-		}
-	}
-	return rate
-}
-
-// allLimited reports whether all servers that may get requests of the service are limited.
-func (p *pool) allLimited(v *view) bool {
-	found := false
-	for _, s := range p.servers {
-		if !eligible(v, s, "", nil) || s.requestedPauseAt(v.now) {
-			continue
-		}
-		if !s.limited() {
-			return false
-		}
-		found = true
-	}
-	return found
-}
-
 // refuseUnlessSoon refuses a request whose servers have all asked for a pause or have no room within their limits, unless
 // limits allow it to start in time after those that wait before it and the more urgent ones that are to be expected. It
 // returns nil if the request should wait.
@@ -121,9 +65,10 @@
 		return d.refuseUntilPauseEnds(now, w.req, got.requestedPauseEnd)
 	}
 	latest := w.latestStart.Add(-queueRetryInterval)
-	moreUrgent := d.core.pool(w.req.Service).moreUrgentRate(now, w.req.Priority) * max(0, latest.Sub(now).Seconds())
-	// The standard deviation of the number of independent arrivals is its square root.
-	if float64(got.limit.startsBy(now, latest)) >= float64(before+1)+moreUrgent+moreUrgentDeviations*math.Sqrt(moreUrgent) {
+	within := max(0, latest.Sub(now))
+	urgent := d.core.pool(w.req.Service).arrivals.Forecast(now, w.req.Priority, 0)
+	moreUrgent := urgent.Urgent*within.Seconds() + shedder.Deviations*urgent.UrgentDeviation(within, 1)
+	if float64(got.limit.startsBy(now, latest)) >= float64(before+1)+moreUrgent {
 		return nil
 	}
 	at := got.limit.startAt(now, before)
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -36,11 +36,8 @@
 	coldCostFactor = 2.0
 	// failureCostWeight is the weight of the failure rate in the cost.
 	failureCostWeight = 6.0
-	// lateLimitShare is the share of a server's concurrency limit that late requests may use during congestion. The
-	// rest is for requests that can meet their soft deadline, which may have come to another entry.
-	lateLimitShare = 0.5
-	// congestedAfter is how long a request that can meet its soft deadline waits in vain until its service counts as
-	// congested, which it does for congestedPeriod.
+	// congestedAfter is how long a request waits in vain until its service counts as congested, which it does for
+	// congestedPeriod.
 	congestedAfter  = 20 * time.Millisecond
 	congestedPeriod = time.Second
 	// maxReservedShare is the largest share of a server's concurrency limit that is reserved for requests of other
@@ -155,17 +152,12 @@
 	return 1
 }
 
-// limitFor returns the concurrency limit for a request, depending on whether it will miss its soft deadline and
-// whether requests that could meet theirs find no free server.
-func (s *server) limitFor(late, congested bool) float64 {
-	switch {
-	case !congested:
-		return s.concurrencyLimit()
-	case late:
-		return max(1, math.Floor(lateLimitShare*s.concurrencyLimit()))
-	default:
+// limitFor returns the concurrency limit, depending on whether requests find no free server.
+func (s *server) limitFor(congested bool) float64 {
+	if congested {
 		return s.congestedLimit()
 	}
+	return s.concurrencyLimit()
 }
 
 // hasCapacity reports whether one more request stays within the limit, given the number of entries that send
