The simulator judges by what callers get

Now it counts requests that are answered within their timeout, the worst two seconds of that, the latency, the time to a refusal and the returns in vain.

Tests: value is replaced by the share served, together with p50 or p99 of the latency where value stood for promptness. TestSchedulerKeepsCallersInTime now asks that every request is served (0.95 in time before) and p99 within 1.6 times that of a scheduler that knows all. New: callers with more and with less time than others (TestGroupsOfCallers), refusals of the scheduler within 20 ms. The known failures of simulator are skipped as before.

--- a/simulator/discovery.go
+++ b/simulator/discovery.go
@@ -16,12 +16,9 @@
 	// sigma.
 	MeanServiceTime  time.Duration
 	ServiceTimeSigma float64
-	// SoftTimeout and Timeout count from the caller's first attempt.
-	SoftTimeout, Timeout time.Duration
-	// Value is what a response within SoftTimeout is worth; a later one is worth LateValue, or a tenth of Value if that
-	// is 0.
-	Value, LateValue float64
-	Priority         int
+	// Timeout counts from the caller's first attempt.
+	Timeout  time.Duration
+	Priority int
 	// NotIdempotent is set when a request whose connection was reset must not be sent to another server.
 	NotIdempotent bool
 	// MaxRetries is how often a refused caller retries, each time after the advised delay.
@@ -114,15 +111,21 @@
 
 // KindResult counts the requests of one kind by how they ended for their callers.
 type KindResult struct {
-	Requests, OnTime, Late, Refused int
+	// Served counts those that were answered within Timeout, Late those that were answered after it.
+	Requests, Served, Late, Refused int
 }
 
+// Share is the share of the requests that were answered within their timeout.
+func (k *KindResult) Share() float64 { return float64(k.Served) / float64(max(1, k.Requests)) }
+
 // DiscoveryResult holds the measurements of one run.
 type DiscoveryResult struct {
 	Kinds map[string]*KindResult
-	// ValueShare is the value of all responses relative to that of responding to every request within SoftTimeout;
-	// WorstValueShare is the same for the worst two consecutive seconds.
-	ValueShare, WorstValueShare float64
+	// ServedShare is the share of all requests that were answered within their timeout, WorstServedShare the same for the
+	// worst two consecutive seconds.
+	ServedShare, WorstServedShare float64
+	// Returns counts the retries of refused callers, VainReturns those that were refused again.
+	Returns, VainReturns int
 	// Attempts counts the requests that reached servers, and Shed those that servers refused.
 	Attempts, Shed int
 	// Probes counts the load probes sent to servers, Messages those between entries and schedulers or between entries.
