Hedges and the end of long bodies go by the caller's deadline

What callers saw: a request on a host that had become slow was sent to a second server only shortly before the aim of its route, and not at all on a route without one; the last byte of a long body waited for a quiet host only up to the aim.

Cause: latestHedgeDelay and delayLastByte counted back from the soft deadline.

Change: a first attempt on a slow server is hedged once it has taken as long as responses of the rule usually take, if a second attempt can still be answered before the deadline: a slow server takes at least as long again. The last byte waits while the response can still arrive before the deadline, 400 ms at most as before. Request.SoftDeadline is gone. The soft timeout of a rule is logged with late responses, and nothing else reads it.

Before, the cases with no, a short and a long soft timeout of TestRequestOnASlowMachineIsHedgedWhileItCanBeInTime and 'long' of TestEndOfALongBodyWaitsForAQuietMachine failed.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -196,8 +196,7 @@
 	}
 	req := sycamorevane.Request{
 		Service: c.svc.Name, Workspace: c.workspace, Route: c.route.Name, Method: c.r.Method,
-		Idempotent: !c.atMostOnce, Deadline: deadline, ExcludedServers: excludedServers, SoftDeadline: c.softDeadline(),
-		Priority: c.priority,
+		Idempotent: !c.atMostOnce, Deadline: deadline, ExcludedServers: excludedServers, Priority: c.priority,
 	}
 	grant, err := c.acquire(ctx, req, hedge)
 	if err != nil {
@@ -344,16 +343,15 @@
 	}
 }
 
-// delayLastByte waits while the host of the server is slow, but only as long as the response can still arrive before
-// the soft deadline.
+// delayLastByte waits while the host of the server is slow, but only as long as the response can still arrive before the
+// deadline.
 func (a *attempt) delayLastByte() {
-	softDeadline := a.c.softDeadline()
-	if softDeadline.IsZero() {
+	if a.c.ruleState == nil || a.c.deadline.IsZero() {
 		return
 	}
 	start := time.Now()
 	defer func() { a.bodyDelayNs.Store(int64(time.Since(start))) }()
-	deadline := softDeadline.Add(-time.Duration(plannedLatencyMedians * float64(a.c.ruleState.medianLatency.get())))
+	deadline := a.c.deadline.Add(-a.c.plannedLatency())
 	if !a.awaitTransmission(deadline) || time.Since(a.startedAt) < maxSelectionAge {
 		return
 	}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -265,14 +265,6 @@
 	}
 }
 
-// softDeadline is the time after which the response loses value to the caller; zero for none.
-func (c *call) softDeadline() time.Time {
-	if c.rule == nil || c.rule.SoftTimeout <= 0 {
-		return time.Time{}
-	}
-	return c.startedAt.Add(c.rule.SoftTimeout)
-}
-
 func (c *call) setDeadline() error {
 	c.timeout, c.progressTimeout = c.svc.Timeout, c.svc.ProgressTimeout
 	if c.timeout <= 0 {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -116,10 +116,10 @@
 	c.f.sampler.Info(now, "request failed", pairs...)
 }
 
-// logLateResponse logs how the time was spent when a response misses its soft deadline.
+// logLateResponse logs how the time was spent when a response comes after the soft timeout of its rule.
 func (c *call) logLateResponse(res *result) {
-	now, softDeadline := time.Now(), c.softDeadline()
-	if softDeadline.IsZero() || !now.After(softDeadline) {
+	now := time.Now()
+	if c.rule == nil || c.rule.SoftTimeout <= 0 || now.Sub(c.startedAt) <= c.rule.SoftTimeout {
 		return
 	}
 	pairs := []any{
--- a/forwarder/retry.go
+++ b/forwarder/retry.go
@@ -23,7 +23,7 @@
 	// slowCheckInterval is how often the server of a first attempt is checked; its slowdown changes several times a second.
 	slowCheckInterval = 20 * time.Millisecond
 	// plannedLatencyMedians is the time that is allowed for a response, as a multiple of the median latency. A hedge is
-	// sent, and the last byte of a long body is written, at least that long before the soft deadline.
+	// sent, and the last byte of a long body is written, at least that long before the deadline.
 	plannedLatencyMedians = 1.1
 	// hedgeRetryInterval is the wait after a hedge that found no slot or no retry budget. Without a further try, a request
 	// on a dead connection would wait until its deadline.
@@ -227,22 +227,27 @@
 	delay := h.c.serviceState.tailLatency.hedgeDelay()
 	now := time.Now()
 	h.sendAt = now.Add(delay)
-	if latest, ok := h.c.latestHedgeDelay(now); ok && latest < delay {
-		delay = latest
+	if usual, ok := h.c.slowHedgeDelay(now); ok && usual < delay {
+		delay = usual
 	}
 	h.c.f.hedges.Add(1)
 	h.timer = time.AfterFunc(delay, h.run)
 }
 
-// latestHedgeDelay returns the delay after which a hedge would usually miss the soft deadline. It returns false when a
-// hedge would miss it already, when there is no soft deadline, or when the Config does not tell which servers are slow.
-func (c *call) latestHedgeDelay(now time.Time) (time.Duration, bool) {
-	softDeadline := c.softDeadline()
-	if c.f.cfg.IsSlow == nil || softDeadline.IsZero() {
+// slowHedgeDelay returns the delay after which a hedge is expected to be answered first if the server of the first attempt is
+// slow: that attempt has taken as long as usual then, and takes as long again. It returns false when there is no time for a
+// hedge before the deadline, or when the Config does not tell which servers are slow.
+func (c *call) slowHedgeDelay(now time.Time) (time.Duration, bool) {
+	if c.f.cfg.IsSlow == nil || c.ruleState == nil {
 		return 0, false
 	}
-	delay := softDeadline.Sub(now) - time.Duration(plannedLatencyMedians*float64(c.ruleState.medianLatency.get()))
-	return delay, delay > 0
+	usual := c.plannedLatency()
+	return usual, c.deadline.IsZero() || !now.Add(2*usual).After(c.deadline)
+}
+
+// plannedLatency is the time that is allowed for a response of the rule.
+func (c *call) plannedLatency() time.Duration {
+	return time.Duration(plannedLatencyMedians * float64(c.ruleState.medianLatency.get()))
 }
 
 // awaitSendTime waits until the first attempt should be hedged: as soon as its server is slow, else at sendAt. It
--- a/types.go
+++ b/types.go
@@ -74,8 +74,6 @@
 	ExcludedServers []string
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
-	// SoftDeadline is the time after which a response loses value to the caller; zero for none.
-	SoftDeadline time.Time
 	// Hedge is set for a second attempt that runs concurrently with the first one. It must not wait for a free slot.
 	Hedge bool
 }
@@ -331,7 +329,7 @@
 	Idempotent bool
 	// Timeout is the longest time that a caller waits for a response; more than 0 and at most MaxRuleTimeout.
 	Timeout time.Duration
-	// SoftTimeout is the time after which a response loses value to the caller; 0 for none.
+	// SoftTimeout is the time after which a response is logged as late; 0 for none. No decision depends on it.
 	SoftTimeout time.Duration `json:"Aim"`
 	// Priority is the rank of the requests; 0 is the most urgent.
 	Priority int
