Only numbers from 100 to 599 are statuses

A status of 999 reached the caller unchanged.

Cause: readHeader took any number below 200 for an interim answer, so that the rest was read as the next answer; http.ReadResponse accepts any three digits. The same in the probe.

Change: serverConn.readResponse, through which all answers of servers pass, fails with statusCodeError for a number that is no status.

Evidence: TestAnswersOfStrictServers, statuses 000, 099, 600 and 999: before, the client got 200, 200, 600 and 999.

The other observation, a part of an early answer without a length that looks whole after a reset, is not reproduced: TestEarlyAnswerThatIsReset (parts of 1,000 and 263,144 bytes, a reset while the upload is written and when it ends, buffered and streamed for want of memory, 10 each) passes with and without this change, five times with the race detector with it. requestDelivered is the reason: an answer that ends with its connection counts only if the whole request was written without an error.

--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -155,9 +156,21 @@
 	if err := c.awaitStatusLine(); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.r, req)
+	resp, err := http.ReadResponse(c.r, req)
+	if err == nil && !isStatus(resp.StatusCode) {
+		return nil, &statusCodeError{resp.StatusCode}
+	}
+	return resp, err
 }
 
+// isStatus reports whether the number is an HTTP status code. What follows a number that is none cannot be delimited either.
+func isStatus(code int) bool { return code >= 100 && code <= 599 }
+
+// statusCodeError means that the status line of a response contains a number that is no status code.
+type statusCodeError struct{ code int }
+
+func (e *statusCodeError) Error() string { return fmt.Sprintf("answer has the status %03d", e.code) }
+
 // connReader reads from the connection with the limits for the header or for the body.
 type connReader serverConn
 
