The balancer weighs transfers by their time, not by a price

What callers saw: nothing yet, as no caller's traffic goes through this package. A request was sent to another data centre only if it saved 0.1 s per MB and 0.2 of its duration 'for the price' of traffic.

Change: the time that the bytes take on the link, 100 Mbit/s if its speed is not known. The share of the duration stays for the older information, and otherDCCostFactor of the dispatcher for that and the way.

--- a/balancer/plan.go
+++ b/balancer/plan.go
@@ -15,12 +15,11 @@
 	// tangentUtilization is the utilization from which the expected wait is continued by its tangent, since demand may
 	// exceed capacity for some time.
 	tangentUtilization = 0.95
-	// crossingShare is the share of the duration of a request that sending it must save in addition to its way, since
-	// traffic between data centres costs money and the information about them is older.
+	// crossingShare is the share of the duration of a request that sending it must save in addition to its way, since the
+	// information about other data centres is older.
 	crossingShare = 0.2
-	// transferCostPerByte is the time in seconds that a byte between data centres must save, for its price. 1 kB costs
-	// 0.1 ms, so that a request of some kB is decided by times and an upload of 1 MB must save 0.1 s.
-	transferCostPerByte = 0.1 / 1e6
+	// defaultLinkMbps is the assumed speed of a link in Mbit/s while it is not known.
+	defaultLinkMbps = 100
 	// defaultLatency is the assumed duration of a request while none is known.
 	defaultLatency = 100 * time.Millisecond
 )
@@ -76,13 +75,12 @@
 	return max(0, s.Capacity-ownUrgent-float64(s.Waiting)/backlogTime)
 }
 
-// transferCost is the time in seconds that sending bytes to another data centre must save.
+// transferCost is the time in seconds that sending bytes to another data centre takes on a link of the given speed.
 func transferCost(bytes, mbps float64) float64 {
-	cost := bytes * transferCostPerByte
-	if mbps > 0 {
-		cost += bytes * 8 / (mbps * 1e6)
+	if mbps <= 0 {
+		mbps = defaultLinkMbps
 	}
-	return cost
+	return bytes * 8 / (mbps * 1e6)
 }
 
 // lender is another data centre that requests may be sent to.
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -27,7 +27,7 @@
 	kneeShare    = 0.8
 	kneeSlowdown = 1.7
 	// otherDCCostFactor makes a server of the local data centre preferred unless it is twice as slow. Traffic between
-	// data centres costs time and money, and the information about a remote server is older, as only servers of the
+	// data centres takes time, and the information about a remote server is older, as only servers of the
 	// local data centre are probed in the background.
 	otherDCCostFactor = 2.0
 	// fullLoadCost is the additional relative cost of a full server compared with an idle one.
