Estimates of room do not outlive what they were made from

The scheduler kept the time at which room was expected from the last tick with waiting requests; a later request could be refused by the end of a request that had ended meanwhile. It is determined anew when it is older than 10 ms. An entry estimated the wait for servers that limit their requests by their slots; the limits decide there now. The forecast of a priority is made once per pass over the queue, not once per request.

TestUnservableIsRejectedAtOnce/long_requests_have_run covers the first. Tests of scheduler, dispatcher and shedder pass.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -63,11 +63,12 @@
 }
 
 // entryLimit is the number of requests that this entry may expect to run at once: its equal part of what the usable servers
-// run, or what it runs now if other entries leave it more.
+// run, or what it runs now if other entries leave it more. It is 0 if only limited servers are usable, whose rates say when
+// requests start.
 func (p *pool) entryLimit(v *view) float64 {
 	limit := 0.0
 	for _, s := range p.servers {
-		if usable(v, s, "", nil) && !s.pausedAt(v.now) && !s.isLeaving() {
+		if usable(v, s, "", nil) && !s.pausedAt(v.now) && !s.isLeaving() && !s.limited() {
 			limit += s.concurrencyLimit()
 		}
 	}
@@ -119,9 +120,12 @@
 		p.turns.sort(list)
 	}
 	waiting, ahead := false, 0.0
-	for _, w := range list {
+	var forecast shedder.Forecast
+	for i, w := range list {
 		waiting = waiting || v.now.Sub(w.queuedAt) >= congestedAfter
-		forecast := p.forecast(v.now, w.req.Priority, limit)
+		if i == 0 || list[i-1].req.Priority != w.req.Priority {
+			forecast = p.forecast(v.now, w.req.Priority, limit)
+		}
 		if limit > 0 && !w.req.Hedge && !forecast.MayStart(w.latestStart.Sub(v.now), ahead, d.work(w)) {
 			retryAfter := d.retryAfter(v, w)
 			d.remove(w)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -316,7 +316,8 @@
 			return d.leaveQueue(w, ctx.Err())
 		case now := <-t.C:
 			if now.After(w.latestStart) {
-				return d.leaveQueue(w, d.refuse(w.req, "no server became free in time", shedder.RetryAfter(shedder.DefaultRetryAfter, w.req.Deadline.Sub(now), rand.Float64())))
+				retryAfter := shedder.RetryAfter(shedder.DefaultRetryAfter, w.req.Deadline.Sub(now), rand.Float64())
+				return d.leaveQueue(w, d.refuse(w.req, "no server became free in time", retryAfter))
 			}
 			var probes []Probe
 			d.mu.Lock()
@@ -329,7 +330,7 @@
 	}
 }
 
-// latestStart is until when the request may start.
+// latestStart is until when a request may start.
 func latestStart(req *sycamorevane.Request, latency *routeLatency) time.Time {
 	if req.Hedge {
 		return req.Deadline
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -12,6 +12,8 @@
 	rateWindow = time.Second
 	// maxWaiting bounds the waiting requests.
 	maxWaiting = 4096
+	// maxRoomAge is the age up to which nextRoom is used.
+	maxRoomAge = 10 * time.Millisecond
 )
 
 // ReasonNoServer is the reason of a rejection because no server of the pool is usable. The entry then uses the servers
@@ -72,6 +74,9 @@
 	if c.queue.count <= c.freeServers(now) {
 		return // It waits for load reports only.
 	}
+	if now.Sub(c.roomUpdatedAt) > maxRoomAge {
+		c.updateRoom(now)
+	}
 	forecast, work := c.forecast(now, w.Priority), w.work.Seconds()
 	if now.Add(w.horizon(now)).Before(c.nextRoom) || !forecast.WillStart(w.horizon(now), c.workAhead(w), work) {
 		c.reject(now, w, "no server becomes free in time")
@@ -158,7 +163,7 @@
 		c.lastCongested = now
 	}
 	c.throughput.Update(now, waiting, len(c.runs), float64(c.totalLimit(now)))
-	c.nextRoom = c.roomAt(now)
+	c.updateRoom(now)
 	for _, w := range expired {
 		c.reject(now, w, "deadline cannot be met")
 	}
@@ -169,10 +174,11 @@
 	}
 }
 
-// roomAt is when a server is expected to have room: now, or when the first request ends if all servers are full.
-func (c *Core) roomAt(now time.Time) time.Time {
+// updateRoom determines when a server is expected to have room: now, or when the first request ends if all are full.
+func (c *Core) updateRoom(now time.Time) {
+	c.nextRoom, c.roomUpdatedAt = now, now
 	if c.freeServers(now) > 0 {
-		return now
+		return
 	}
 	var first time.Time
 	for _, r := range c.runs {
@@ -180,7 +186,7 @@
 			first = r.expectedEnd
 		}
 	}
-	return first
+	c.nextRoom = first
 }
 
 func (c *Core) anyUsable() bool {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -67,10 +67,10 @@
 	arrivals   map[int]*rate
 	shedder    *shedder.Shedder
 	throughput shedder.Throughput
-	// nextRoom is when a server is expected to have room again, as of the last tick with waiting requests.
-	nextRoom  time.Time
-	decisions []Decision
-	blames    blames
+	// nextRoom is when a server is expected to have room again, as of roomUpdatedAt.
+	nextRoom, roomUpdatedAt time.Time
+	decisions               []Decision
+	blames                  blames
 }
 
 // run is a request on a server.
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -193,6 +193,20 @@
 		require.Empty(t, decisions[0].Server)
 		require.Empty(t, c.Ask(at(6), ask(3, at(6), 100*time.Millisecond, 20*time.Second)))
 	})
+	t.Run("long requests have run", func(t *testing.T) {
+		c := newPool(1)
+		for id := range uint64(2) {
+			c.Ask(start, ask(1000+id, start, 10*time.Second, time.Minute))
+		}
+		c.Ask(start, lookup(1, start))
+		c.Tick(at(5))
+		c.Cancel(at(10), key(1))
+		for id := range uint64(2) {
+			finish(c, at(20), 1000+id, 1)
+			c.Ask(at(20), lookup(10+id, at(20)))
+		}
+		require.Empty(t, c.Ask(at(40), ask(2, at(40), 100*time.Millisecond, 2*time.Second)), "room is expected soon")
+	})
 	t.Run("too many before it", func(t *testing.T) {
 		c := filledPool(t)
 		for id := range uint64(10) {
