--- a/forwarder/rules_test.go
+++ b/forwarder/rules_test.go
@@ -107,6 +107,7 @@
 		for i := range st.Config.Rules {
 			st.Config.Rules[i].SoftTimeout, st.Config.Rules[i].Timeout = time.Second, 10*time.Second
 		}
+		st.Config.Services[0].RetryRatio = 0 // No hedges, which the recorder would count.
 	}), server)
 	for range 20 {
 		_, _, err := r.do("GET", "/x", "", "X-Request-Id", "q1", "X-Left-Ms", "3500")
@@ -121,6 +122,32 @@
 	require.Equal(t, long, short)
 }
 
+// Guards against decisions that depend on the soft timeout of a rule: the limiter gets the same request with any of them.
+func TestSoftTimeoutDecidesNothing(t *testing.T) {
+	t.Parallel()
+	requests := make(map[time.Duration]sycamorevane.Request)
+	for _, softTimeout := range []time.Duration{0, 250 * time.Millisecond, time.Second, 4 * time.Second} {
+		_, server := newScriptedServer(t, respondAfter(0, provenResponse))
+		var recorder *requestRecorder
+		r := newTestRig(t, withRules(func(cfg *Config, st *sycamorevane.State) {
+			recorder = &requestRecorder{Limiter: cfg.Limiter}
+			cfg.Limiter = recorder
+			st.Config.Rules[0].SoftTimeout = softTimeout
+			st.Config.Services[0].RetryRatio = 0 // No hedges, which the recorder would count.
+		}), server)
+		sent := time.Now()
+		_, _, err := r.do("GET", "/x", "", "X-Request-Id", "q1", "X-Left-Ms", "300")
+		require.NoError(t, err)
+		req := recorder.requests[0]
+		require.WithinDuration(t, sent.Add(300*time.Millisecond), req.Deadline, 200*time.Millisecond)
+		req.Deadline = time.Time{}
+		requests[softTimeout] = req
+	}
+	for softTimeout, req := range requests {
+		require.Equal(t, requests[0], req, "soft timeout %v", softTimeout)
+	}
+}
+
 // Guards against a round robin and an estimate that start over with each new state, as servers leave and rollouts
 // progress.
 func TestNewStatesKeepRuleStates(t *testing.T) {
