Bytes count as sent from before they are written

Cause: connWriter counted the bytes after Conn.Write returned. While that call waits for room in the socket, the server may answer and reset; the reader then saw bytesSent 0, and fail took the request for one that was never sent.

Change: the bytes count before the write; what was not written is taken back. TestBytesCountWhileTheyAreWritten failed before (0 during a write).

--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -53,7 +53,7 @@
 	bodyDeadline    atomic.Pointer[time.Time]
 	// headerRemaining is how many more bytes the response header may have; negative while the body is read.
 	headerRemaining int
-	// bytesSent counts the bytes passed to the kernel in the current exchange.
+	// bytesSent counts the bytes passed to the kernel in the current exchange, and all of those that are being passed.
 	bytesSent atomic.Int64
 	// peekOK is the result of the last peek. peekFunc is stored so that peeking allocates nothing.
 	peekOK   bool
@@ -196,7 +196,9 @@
 
 func (w *connWriter) Write(p []byte) (int, error) {
 	_ = w.Conn.SetWriteDeadline(time.Now().Add(w.progressTimeout))
+	// They count from before they are written: the server may have some of them, and respond, while the call still waits.
+	w.bytesSent.Add(int64(len(p)))
 	n, err := w.Conn.Write(p)
-	w.bytesSent.Add(int64(n))
+	w.bytesSent.Add(int64(n - len(p)))
 	return n, err
 }
--- a/forwarder/rules_test.go
+++ b/forwarder/rules_test.go
@@ -269,6 +269,28 @@
 	assert.Equal(t, http.StatusBadGateway, resp.StatusCode)
 }
 
+// Guards against a request that counts as not sent although the server has a part of it: the server may respond, and reset
+// the connection, while the rest is still being written.
+func TestBytesCountWhileTheyAreWritten(t *testing.T) {
+	near, far := net.Pipe()
+	c := newServerConn(near, nil, time.Now())
+	c.beginExchange(time.Second)
+	written := make(chan error)
+	go func() {
+		_, err := (*connWriter)(c).Write([]byte("request"))
+		written <- err
+	}()
+	_, err := io.ReadFull(far, make([]byte, 3))
+	require.NoError(t, err)
+	require.Positive(t, c.bytesSent.Load())
+	require.NoError(t, far.Close())
+	require.Error(t, <-written)
+	require.Equal(t, int64(3), c.bytesSent.Load())
+	_, err = (*connWriter)(c).Write([]byte("more"))
+	require.Error(t, err)
+	require.Equal(t, int64(3), c.bytesSent.Load(), "what was not written does not count")
+}
+
 // Guards against a part of a response that looks complete: a server answers an upload before it has read it, without a
 // length, and resets the connection while the upload is being written, or when it ends.
 func TestEarlyAnswerThatIsReset(t *testing.T) {
@@ -311,9 +333,9 @@
 						if err != nil {
 							continue
 						}
-						_, err = io.ReadAll(resp.Body)
+						text, err := io.ReadAll(resp.Body)
 						_ = resp.Body.Close()
-						assert.True(t, err != nil || resp.StatusCode == http.StatusBadGateway, "status %d", resp.StatusCode)
+						assert.True(t, err != nil || resp.StatusCode == http.StatusBadGateway, "status %d: %s", resp.StatusCode, text)
 					}
 				})
 			}
