The history of demand follows the monotonic clock

Found by reading the change: steps of the history were counted by the wall clock. After it is set back, the demand of the time by which it was set back would have counted as recent, and requests in a queue would have been refused as excess. Steps count from the first request by the monotonic clock now.

TestDemandFollowsTheMonotonicClock; a wall clock that jumps cannot be played in a test of this package. Tests of shedder and scheduler and the open tests of groups in simulator pass.

--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -31,7 +31,9 @@
 
 // Shedder holds the demand of all groups.
 type Shedder struct {
-	demands map[Group]*demand
+	// startedAt is the first time that was passed. Times count from it by the monotonic clock, which does not jump.
+	startedAt time.Time
+	demands   map[Group]*demand
 	// horizons holds, by priority, the mean time in which requests must be finished.
 	horizons map[int]time.Duration
 }
@@ -54,10 +56,17 @@
 		d = &demand{}
 		s.demands[g] = d
 	}
-	d.advance(now)
+	d.advance(s.elapsed(now))
 	d.total += work
 }
 
+func (s *Shedder) elapsed(now time.Time) time.Duration {
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
+	return now.Sub(s.startedAt)
+}
+
 // Forecast returns what requests of the priority can expect if the given work in seconds is done per second.
 func (s *Shedder) Forecast(now time.Time, priority int, capacity float64) Forecast {
 	f := Forecast{Capacity: capacity, period: s.horizon(priority)}
@@ -66,8 +75,9 @@
 	}
 	for g, d := range s.demands {
 		if g.Priority < priority {
-			d.advance(now)
-			f.Urgent += d.since(now, f.period) / f.period.Seconds()
+			at := s.elapsed(now)
+			d.advance(at)
+			f.Urgent += d.since(at, f.period) / f.period.Seconds()
 		}
 	}
 	return f
@@ -95,7 +105,7 @@
 		if other.Priority > g.Priority {
 			continue
 		}
-		work := d.over(now, horizon)
+		work := d.over(s.elapsed(now), horizon)
 		if work <= 0 {
 			continue
 		}
@@ -108,7 +118,7 @@
 	}
 	own := 0.0
 	if d := s.demands[g]; d != nil {
-		own = d.over(now, horizon)
+		own = d.over(s.elapsed(now), horizon)
 	}
 	if own <= 0 || total <= capacity*horizon.Seconds() {
 		return 1
@@ -134,18 +144,13 @@
 	total float64
 	// totals holds the total at the end of each past step, at the index of the step modulo historySize.
 	totals [historySize]float64
-	// step is the current step; 0 before the first.
+	// step is the current step.
 	step int64
 }
 
-func stepOf(t time.Time) int64 { return t.UnixNano() / int64(historyStep) }
-
 // advance ends the steps that are over.
-func (d *demand) advance(now time.Time) {
-	step := stepOf(now)
-	if d.step == 0 {
-		d.step = step
-	}
+func (d *demand) advance(at time.Duration) {
+	step := int64(at / historyStep)
 	for first := max(d.step, step-historySize); first < step; first++ {
 		d.totals[first%historySize] = d.total
 	}
@@ -154,19 +159,24 @@
 
 // over is the work that is expected to arrive in the period: as much as in the last one, or in proportion as recently, if
 // that is less.
-func (d *demand) over(now time.Time, period time.Duration) float64 {
-	d.advance(now)
+func (d *demand) over(at, period time.Duration) float64 {
+	d.advance(at)
 	recent := time.Duration(recentShare * float64(period))
-	return min(d.since(now, period), d.since(now, recent)/recentShare)
+	return min(d.since(at, period), d.since(at, recent)/recentShare)
 }
 
 // since is the work that has arrived in the last period.
-func (d *demand) since(now time.Time, period time.Duration) float64 {
-	first := now.Add(-period)
-	step := stepOf(first)
-	before, after := d.totalAfter(step-1), d.totalAfter(step)
-	share := float64(first.UnixNano()-step*int64(historyStep)) / float64(historyStep)
-	return d.total - before - share*(after-before)
+func (d *demand) since(at, period time.Duration) float64 {
+	first := at - period
+	if first <= 0 {
+		return d.total
+	}
+	step := int64(first / historyStep)
+	before, after := 0.0, d.totalAfter(step)
+	if step > 0 {
+		before = d.totalAfter(step - 1)
+	}
+	return d.total - before - float64(first%historyStep)/float64(historyStep)*(after-before)
 }
 
 // totalAfter is the total at the end of a step.
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -71,6 +71,14 @@
 	})
 }
 
+// Guards against demand that seems to have arrived at another time after the wall clock has been set.
+func TestDemandFollowsTheMonotonicClock(t *testing.T) {
+	s, now := New(), time.Now()
+	s.Count(now, Group{}, 0.1, time.Second)
+	require.NotEqual(t, s.startedAt.Round(0), s.startedAt, "without a monotonic clock reading")
+	require.Equal(t, time.Second, s.elapsed(now.Add(time.Second)))
+}
+
 func TestForecast(t *testing.T) {
 	s := New()
 	arrive(s, Group{}, 50, 0, 5*time.Second)
