Better placement may serve all requests that entries serve by themselves

Cause: TestTwoSchedulersOfOnePool and TestSchedulerWithSlowMessages required a larger served share than that of entries by themselves. The arrivals are seeded, the choices of entries are not.

Change: requireBetter requires a larger share, or all requests if the reference serves all, and as before a lower median. The 99th percentile has to be lower as well, which neither test required.

--- a/simulator/discovery_design_test.go
+++ b/simulator/discovery_design_test.go
@@ -146,9 +146,8 @@
 	own := runInBubble(t, o)
 	o.Design = SchedulerPerDC
 	r := runInBubble(t, o)
-	require.Greater(t, r.ServedShare, own.ServedShare)
+	requireBetter(t, r, own)
 	require.GreaterOrEqual(t, r.ServedShare, 0.9)
-	require.Less(t, r.Latency.ValueAtPercentile(50), own.Latency.ValueAtPercentile(50))
 }
 
 // Guards against two hosts that both believe that they own a pool and overload its servers together: each of them sees
@@ -160,11 +159,24 @@
 	own := runInBubble(t, o)
 	o.Design, o.SplitPools = SchedulerPerDC, true
 	r := runInBubble(t, o)
-	require.Greater(t, r.ServedShare, own.ServedShare)
-	require.Less(t, r.Latency.ValueAtPercentile(50), own.Latency.ValueAtPercentile(50))
+	requireBetter(t, r, own)
 	require.Less(t, float64(r.Shed), 0.01*float64(r.Attempts))
 }
 
+// requireBetter requires that more requests are served than in the reference, or all, and that half of the answers and 99%
+// of them come sooner.
+func requireBetter(t *testing.T, got, reference DiscoveryResult) {
+	t.Helper()
+	if reference.ServedShare < 1 {
+		require.Greater(t, got.ServedShare, reference.ServedShare)
+	} else {
+		require.InDelta(t, 1, got.ServedShare, 0)
+	}
+	for _, percentile := range []float64{50, 99} {
+		require.Less(t, got.Latency.ValueAtPercentile(percentile), reference.Latency.ValueAtPercentile(percentile), "p%v", percentile)
+	}
+}
+
 // requireP99 compares the 99th percentiles of two latencies.
 func requireP99(t *testing.T, ratio float64, got, reference *hdrhistogram.Histogram) {
 	t.Helper()
