--- a/forwarder/key_test.go
+++ b/forwarder/key_test.go
@@ -200,13 +200,13 @@
 	require.Equal(t, map[int]int{200: 2, 404: 2, 401: 4}, statuses)
 }
 
-// serveEntry serves the forwarder through the listener of an entry and returns a connection to it.
-func (r *keyRig) serveEntry(t *testing.T) (net.Conn, *bufio.Reader) {
+// serveEntry serves the handler through the listener of an entry and returns a connection to it.
+func serveEntry(t *testing.T, h http.Handler) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	entry := acceptor.New(acceptor.Config{
-		Handler: r.f, Log: logr.Discard(),
+		Handler: h, Log: logr.Discard(),
 		Limits: func() acceptor.Limits {
 			return acceptor.Limits{MaxHeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Minute}
 		},
@@ -252,7 +252,7 @@
 		t.Run(method, func(t *testing.T) {
 			r := newKeyRig(t, kept, revoked)
 			r.hold = make(chan struct{})
-			c, responses := r.serveEntry(t)
+			c, responses := serveEntry(t, r.f)
 			// Up to 8 requests without a body are handled concurrently; requests behind a POST wait for its response.
 			running := 8
 			if method == "POST" {
@@ -290,7 +290,7 @@
 	kept, revoked := workspaceWithKeys("kaje80", nil, "k-jubo"), workspaceWithKeys("vopu11", nil, "k-mefi")
 	t.Run("during an upload", func(t *testing.T) {
 		r := newKeyRig(t, kept, revoked)
-		c, responses := r.serveEntry(t)
+		c, responses := serveEntry(t, r.f)
 		_, err := io.WriteString(c, keyRequest("POST", "k-mefi", 10)+"12345")
 		require.NoError(t, err)
 		time.Sleep(30 * time.Millisecond)
--- a/forwarder/rules_test.go
+++ b/forwarder/rules_test.go
@@ -291,58 +291,6 @@
 	require.Equal(t, int64(3), c.bytesSent.Load(), "what was not written does not count")
 }
 
-// Guards against a part of a response that looks complete: a server answers an upload before it has read it, without a
-// length, and resets the connection while the upload is being written, or when it ends.
-func TestEarlyAnswerThatIsReset(t *testing.T) {
-	t.Parallel()
-	for _, part := range []int{1000, maxBufferedBytes + 1000} {
-		for name, wholeUpload := range map[string]bool{"while it is written": false, "when it ends": true} {
-			for memory, limit := range map[string]int64{"buffered": 1 << 30, "streamed": 0} {
-				t.Run(fmt.Sprintf("%d/%s/%s", part, name, memory), func(t *testing.T) {
-					t.Parallel()
-					answered := make(chan struct{}, 1)
-					_, server := newScriptedServer(t, func(_ *scriptedServer, _ int, c net.Conn) {
-						req, err := http.ReadRequest(bufio.NewReader(c))
-						if err != nil {
-							return
-						}
-						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Proof: p\r\nX-Request-Id: "+req.Header.Get("X-Request-Id")+"\r\n\r\n")
-						_, _ = io.WriteString(c, strings.Repeat("x", part))
-						answered <- struct{}{}
-						if wholeUpload {
-							_, _ = io.Copy(io.Discard, req.Body)
-						}
-						_ = c.(*net.TCPConn).SetLinger(0)
-					})
-					r := newTestRig(t, withRules(func(_ *Config, st *sycamorevane.State) { st.Config.Rules[1].Timeout = 5 * time.Second }), server)
-					r.f.bodyMemory.maxBytes = limit
-					for range 10 {
-						body, w := io.Pipe()
-						go func() {
-							_, _ = io.WriteString(w, strings.Repeat("y", 2*maxPrefixBytes))
-							<-answered
-							_, _ = io.WriteString(w, strings.Repeat("y", maxPrefixBytes))
-							_ = w.Close()
-						}()
-						req, err := http.NewRequest("POST", r.httpServer.URL+"/set/x", body)
-						require.NoError(t, err)
-						req.Host, req.ContentLength = "flagboard.test", 3*maxPrefixBytes
-						req.Header["X-Request-Id"] = []string{"q"}
-						resp, err := r.client.Do(req)
-						_ = body.Close()
-						if err != nil {
-							continue
-						}
-						text, err := io.ReadAll(resp.Body)
-						_ = resp.Body.Close()
-						assert.True(t, err != nil || resp.StatusCode == http.StatusBadGateway, "status %d: %s", resp.StatusCode, text)
-					}
-				})
-			}
-		}
-	}
-}
-
 // Guards against a second response to an earlier request that arrives in place of the next response.
 func TestBelatedSecondAnswer(t *testing.T) {
 	_, server := newScriptedServer(t, func(s *scriptedServer, _ int, c net.Conn) {
