Responses to uploads that are not read reach their callers

What callers saw: an entry that refuses an upload before it has read it sends the response and closes the connection. net/http clients then often report "connection reset by peer" in place of the refusal, without its Retry-After.

Cause: closing a connection with unread bytes resets it. The client is still writing and takes the failed write for the result.

Change: after the response the entry reads up to 256 KiB of the rest and leaves the connection open for up to 0.5 s, unless the caller closes it.

--- a/acceptor/close_test.go
+++ b/acceptor/close_test.go
@@ -66,3 +66,22 @@
 		c.expect(200, "/250")
 	}
 }
+
+// Guards against a response that a client never sees, because the connection is reset while it still sends the request.
+func TestResponseBeforeTheUploadIsRead(t *testing.T) {
+	_, addr := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	for name, size := range map[string]int{"that fits the buffers of the connection": 50_000, "that does not": 10 << 20} {
+		t.Run("an upload "+name, func(t *testing.T) {
+			for range 50 {
+				resp, err := http.Post("http://"+addr+"/x", "text/plain", strings.NewReader(strings.Repeat("y", size)))
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+				require.Equal(t, "1", resp.Header.Get("Retry-After"))
+			}
+		})
+	}
+}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -23,6 +23,10 @@
 	maxConcurrentExchanges = 8
 	// errorWriteTimeout is the time limit for writing the response to a request that could not be read.
 	errorWriteTimeout = time.Second
+	// lingerTime is how long a connection stays open for the caller to receive the response to a request that has not been
+	// read completely. lingerBytes limits what is read of the rest.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
 )
 
 var errHeaderTooLarge = errors.New("request header is too large")
@@ -56,6 +60,8 @@
 	// noMoreRequests is set when no further request is read, finalWait when a shutdown has granted the connection its last
 	// wait for a request.
 	noMoreRequests, finalWait bool
+	// requestUnread is set when the last request has not been read completely.
+	requestUnread bool
 }
 
 func newConn(s *Server, netConn net.Conn) *conn {
@@ -142,9 +148,26 @@
 		c.cancel() // The caller has disconnected and waits for no response.
 	}
 	c.wg.Wait()
+	if noMoreRequests && c.requestUnread {
+		c.linger()
+	}
 	c.close()
 }
 
+// linger reads the rest of the last request, so that the caller can receive the response. Closing a connection with unread
+// bytes resets it, and many clients report a reset while they send a request instead of the response to it.
+func (c *conn) linger() {
+	deadline := time.Now().Add(lingerTime)
+	_ = c.netConn.SetReadDeadline(deadline)
+	if _, err := io.CopyN(io.Discard, c.netConn, lingerBytes); err != nil {
+		return
+	}
+	select {
+	case <-c.ctx.Done():
+	case <-time.After(time.Until(deadline)):
+	}
+}
+
 // canRunConcurrently reports whether the request may be served concurrently with others of its connection: it has no body,
 // which would have to be read before the next request, and as GET or HEAD it does not depend on the order.
 func canRunConcurrently(req *http.Request) bool {
@@ -289,6 +312,7 @@
 		status = "501 Not Implemented"
 	}
 	c.stopReading()
+	c.requestUnread = true
 	if previous != nil && !previous.awaitDone(c.ctx) {
 		return
 	}
--- a/acceptor/exchange.go
+++ b/acceptor/exchange.go
@@ -104,6 +104,7 @@
 		}
 	default:
 	}
+	x.conn.requestUnread = true
 	x.conn.stopReading()
 	return false
 }
