The longest tests of the simulator run in parallel

Two tests make up nearly all of it and run their simulations, in virtual time and independent of each other, one after the other.

Change: they, and TestGroupsOfCallers, run in parallel.

--- a/simulator/discovery_groups_test.go
+++ b/simulator/discovery_groups_test.go
@@ -29,10 +29,12 @@
 // Guards against callers that are refused nearly always because others have more time than they, or less, and against
 // refusals of those that can be served.
 func TestGroupsOfCallers(t *testing.T) {
+	t.Parallel()
 	for _, design := range []Design{OwnView, SchedulerPerDC} {
 		for _, load := range []float64{0.5, 1.5, 3} {
 			for _, shortShare := range []float64{0.2, 0.8} {
 				t.Run(fmt.Sprintf("%v/%v/%v", design, load, shortShare), func(t *testing.T) {
+					t.Parallel()
 					r := runInBubble(t, groupConditions(shortShare, load, design))
 					for name, k := range r.Kinds {
 						require.GreaterOrEqual(t, k.Share(), 0.8*r.ServedShare, name)
--- a/simulator/discovery_test.go
+++ b/simulator/discovery_test.go
@@ -69,6 +69,7 @@
 // Guards against many entries that all send requests to the same servers once their own servers are full: those servers
 // then work through long queues of requests that are already late.
 func TestOpenManyEntriesUnderOverload(t *testing.T) {
+	t.Parallel()
 	got := make(map[float64]float64)
 	for _, load := range []float64{0.7, 1, 1.5, 3} {
 		o := lookupConditions(120)
@@ -118,10 +119,12 @@
 // Guards against capacity that is never used, and against goodput that falls as the offered load grows, with few slots
 // or many, with and without noisy neighbours.
 func TestOpenGoodputBySlots(t *testing.T) {
+	t.Parallel()
 	for _, slots := range []int{1, 2, 4, 6, 16} {
 		for name, noise := range map[string]Noise{"steady": {}, "noisy": lookupConditions(1).Noise} {
 			t.Run(fmt.Sprintf("%d/%s", slots, name), func(t *testing.T) {
 				reporter.SkipKnownFailures(t)
+				t.Parallel()
 				got := make(map[float64]float64)
 				best := 0.0
 				for _, load := range []float64{0.7, 1, 1.5, 3} {
