Test that returns to limited servers are spread

Cause: since TestRetryAfterOfLimitedServers no longer checks that refused callers are told times a second apart: those that can be served in their time wait now, and the others get a time after their deadline, for which nothing is reserved.

Change: TestReturnsToLimitedServersAreSpread checks it where times are reserved, and that callers that will not return take none.

--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -205,6 +205,19 @@
 	})
 }
 
+// Guards against callers that are told to return at the same time, and against room kept for those that will not return.
+func TestReturnsToLimitedServersAreSpread(t *testing.T) {
+	p, at := &pool{}, start.Add(time.Second)
+	patient := &sycamorevane.Request{Deadline: start.Add(time.Minute)}
+	impatient := &sycamorevane.Request{Deadline: start.Add(time.Second)}
+	for n := range 3 {
+		require.Equal(t, at.Add(time.Duration(n)*time.Second), p.reserveReturn(at, patient, 1), "one request a second is accepted")
+	}
+	for range 2 {
+		require.Equal(t, at.Add(3*time.Second), p.reserveReturn(at, impatient, 1))
+	}
+}
+
 // Guards against requests that are refused although the limits leave room for them in their time, against a wait of those
 // for which there is none, and against a Retry-After at which a request is refused again.
 func TestRetryAfterOfLimitedServers(t *testing.T) {
